--- /dev/null
+++ b/change.go
@@ -0,0 +1,86 @@
+package sequoialead
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Change sets or removes one key of the configuration, or removes a section.
+type Change struct {
+	Section string `cbor:"1,keyasint" json:"section"`
+	// Key is empty when a whole section is removed.
+	Key    string `cbor:"2,keyasint,omitempty" json:"key,omitempty"`
+	Value  string `cbor:"3,keyasint,omitempty" json:"value,omitempty"`
+	Remove bool   `cbor:"4,keyasint,omitempty" json:"remove,omitempty"`
+}
+
+// String returns the change in the form that the command line takes.
+func (c Change) String() string {
+	switch {
+	case c.Remove && c.Key == "":
+		return "-" + c.Section
+	case c.Remove:
+		return fmt.Sprintf("-%s.%s", c.Section, c.Key)
+	}
+	return fmt.Sprintf("%s.%s=%s", c.Section, c.Key, c.Value)
+}
+
+// Digest identifies a version of the configuration with all that led to it.
+type Digest [32]byte
+
+// Patch is an operator's change of the configuration.
+type Patch struct {
+	ID   uuid.UUID `cbor:"1,keyasint"`
+	Who  string    `cbor:"2,keyasint"`
+	When time.Time `cbor:"3,keyasint"`
+	// Base is the version that the operator last saw.
+	Base Version `cbor:"4,keyasint"`
+	// Prior is the digest of the base version. Nobody can know it before that
+	// version exists, so a patch never takes effect ahead of its base.
+	Prior   Digest   `cbor:"5,keyasint"`
+	Changes []Change `cbor:"6,keyasint"`
+	Note    string   `cbor:"7,keyasint,omitempty"`
+}
+
+// Snapshot is a whole configuration at one version.
+type Snapshot struct {
+	Version Version `cbor:"1,keyasint"`
+	Digest  Digest  `cbor:"2,keyasint"`
+	// Covered is the offset of the first log record that the snapshot does
+	// not include.
+	Covered uint64   `cbor:"3,keyasint"`
+	Changes []Change `cbor:"4,keyasint"`
+	// Last is the patch that made the version.
+	Last uuid.UUID `cbor:"5,keyasint"`
+}
+
+// Verdict is what became of a patch.
+type Verdict string
+
+// The verdicts on a patch.
+const (
+	VerdictAccepted Verdict = "accepted"
+	VerdictConflict Verdict = "conflict"
+	VerdictInvalid  Verdict = "invalid"
+	VerdictRepeat   Verdict = "repeat"
+	VerdictForged   Verdict = "forged"
+	// VerdictPast is for a patch whose base was passed before this process
+	// knew the versions between.
+	VerdictPast Verdict = "past"
+)
+
+// Audit is one line of the audit trail.
+type Audit struct {
+	Offset  uint64    `json:"offset"`
+	Time    time.Time `json:"time"`
+	ID      uuid.UUID `json:"id"`
+	Who     string    `json:"who"`
+	Base    Version   `json:"base"`
+	Version Version   `json:"version"`
+	Verdict Verdict   `json:"verdict"`
+	Reason  string    `json:"reason,omitempty"`
+	Note    string    `json:"note,omitempty"`
+	Changes []Change  `json:"changes"`
+}
--- /dev/null
+++ b/commands/agent.go
@@ -0,0 +1,58 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"net/netip"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoialead/core/kernel"
+	"sequoialead/core/settings"
+)
+
+// Defaults of an agent's settings.
+const (
+	defaultCalls  = 8192
+	defaultMemory = 64 << 20
+)
+
+func (s *agentSettings) bind(flags *flag.FlagSet) {
+	flags.StringVar(&s.name, "name", "", "the instance's name in the instance list")
+	flags.StringVar(&s.pool, "pool", "", "the pool that the backend server belongs to")
+	flags.StringVar(&s.region, "region", "", "the region that the instance is in")
+	flags.StringVar(&s.domain, "domain", "", "the failure domain that the instance is in")
+	flags.TextVar(&s.addr, "addr", netip.AddrPort{}, "IP:PORT to listen on")
+	flags.TextVar(&s.backend, "backend", netip.AddrPort{}, "IP:PORT of the backend server")
+	flags.StringVar(&s.fleet, "fleet", "", "the fleet's key, the same in every process")
+	flags.IntVar(&s.calls, "calls", defaultCalls, "the most calls that are remembered at once")
+	flags.IntVar(&s.memory, "memory", defaultMemory, "the most bytes of bodies and answers that are held at once")
+	flags.DurationVar(&s.grace, "grace", defaultGrace, "the longest wait for open calls when stopping, such as 30s")
+}
+
+func newAgent(deps Deps) *ffcli.Command {
+	var s agentSettings
+	flags := newFlags("sequoialead agent", deps)
+	s.bind(flags)
+	verbosity := flags.Int("verbosity", 0, "the level of log events, from 0")
+	flags.String("config", "", "the INI file with these settings")
+	parser := settings.New(flags, "name", "pool", "domain", "addr", "backend", "fleet")
+	return &ffcli.Command{
+		Name:       "agent",
+		ShortUsage: "sequoialead agent --config FILE [FLAGS]",
+		ShortHelp:  "run an agent, which guards one backend server",
+		FlagSet:    flags,
+		Options:    options(parser),
+		Exec: func(ctx context.Context, _ []string) error {
+			if err := parser.Check(); err != nil {
+				return err
+			}
+			log := newLogger(deps, *verbosity).WithValues("role", "agent", "instance", s.name)
+			k := kernel.New()
+			if err := buildAgent(k, s); err != nil {
+				return err
+			}
+			return serve(ctx, k, log, func() error { return stopAgent(k, s.grace) })
+		},
+	}
+}
--- /dev/null
+++ b/commands/commands.go
@@ -0,0 +1,126 @@
+// Package commands holds the command line, with one file for each command.
+package commands
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"k8s.io/klog/v2"
+
+	"sequoialead"
+	"sequoialead/common/line"
+	"sequoialead/core/settings"
+)
+
+// Exit codes of the command line.
+const (
+	ExitDone     = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+	ExitInvalid  = 4
+	ExitDenied   = 5
+	ExitUnknown  = 6
+)
+
+// Deps is what commands need of the world.
+type Deps struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	Now    func() time.Time
+}
+
+// Execute runs the command named by the arguments and returns the exit code.
+func Execute(ctx context.Context, args []string, deps Deps) int {
+	root := newRoot(deps)
+	err := root.Parse(args)
+	if err == nil {
+		err = root.Run(ctx)
+	}
+	if err == nil {
+		return ExitDone
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		if len(args) > 0 && strings.Contains(strings.Join(args, " "), "-h") {
+			return ExitDone
+		}
+		return ExitUsage
+	}
+	fmt.Fprintf(deps.Stderr, "sequoialead: %s\n", message(err))
+	return code(err)
+}
+
+// message returns an error's text without the names of its kinds.
+func message(err error) string {
+	text := err.Error()
+	for _, kind := range []*errorx.Type{
+		sequoialead.ErrSettings, sequoialead.ErrInvalid, sequoialead.ErrConflict, sequoialead.ErrDenied,
+		sequoialead.ErrPlatform, sequoialead.ErrProtocol, sequoialead.ErrLost, sequoialead.ErrFailed,
+	} {
+		text = strings.ReplaceAll(text, kind.FullName()+": ", "")
+	}
+	return strings.TrimPrefix(text, "error parsing config file: ")
+}
+
+func code(err error) int {
+	switch {
+	case errorx.IsOfType(err, sequoialead.ErrConflict):
+		return ExitConflict
+	case errorx.IsOfType(err, sequoialead.ErrInvalid):
+		return ExitInvalid
+	case errorx.IsOfType(err, sequoialead.ErrDenied):
+		return ExitDenied
+	case errorx.IsOfType(err, sequoialead.ErrPlatform), errorx.IsOfType(err, sequoialead.ErrLost):
+		return ExitUnknown
+	case errorx.IsOfType(err, sequoialead.ErrSettings):
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func newRoot(deps Deps) *ffcli.Command {
+	flags := newFlags("sequoialead", deps)
+	root := &ffcli.Command{
+		Name:       "sequoialead",
+		ShortUsage: "sequoialead COMMAND [FLAGS] [ARGUMENTS]",
+		ShortHelp:  "serve multi-stage model pipelines",
+		FlagSet:    flags,
+		Exec:       func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	root.Subcommands = []*ffcli.Command{
+		newDev(deps),
+		newEntry(deps),
+		newAgent(deps),
+		newPatch(deps),
+		newShow(deps),
+		newStatus(deps),
+		newAudit(deps),
+		newDrain(deps),
+		newRestore(deps),
+		newKey(deps),
+		newFake(deps),
+	}
+	root.Subcommands = append(root.Subcommands, newCompletion(deps, root))
+	return root
+}
+
+func newFlags(name string, deps Deps) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(deps.Stderr)
+	return flags
+}
+
+// options returns the ff options of a command that reads settings.
+func options(parser *settings.Parser) []ff.Option { return parser.Options() }
+
+func newLogger(deps Deps, verbosity int) klog.Logger {
+	return line.New(deps.Stderr, verbosity, deps.Now)
+}
--- /dev/null
+++ b/commands/dev.go
@@ -0,0 +1,214 @@
+package commands
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"k8s.io/klog/v2"
+
+	"sequoialead"
+	"sequoialead/core/document"
+	"sequoialead/core/kernel"
+	"sequoialead/core/settings"
+	"sequoialead/core/site"
+	fakeengine "sequoialead/fake/engine"
+	fakelist "sequoialead/fake/list"
+	fakelog "sequoialead/fake/log"
+	"sequoialead/io/console"
+	"sequoialead/io/list"
+	"sequoialead/io/operator"
+	"sequoialead/io/web"
+)
+
+const (
+	fileSite          = "site.ini"
+	fileConfiguration = "configuration.ini"
+	devLag            = 100 * time.Millisecond
+	devGrace          = 5 * time.Second
+	devBlocks         = 4096
+	devSetupTimeout   = 10 * time.Second
+)
+
+func newDev(deps Deps) *ffcli.Command {
+	flags := newFlags("sequoialead dev", deps)
+	dir := flags.String("site", "examples/whiskerlane", "a folder with site.ini and configuration.ini")
+	verbosity := flags.Int("verbosity", -1, "the level of log events, from 0; none are printed below")
+	return &ffcli.Command{
+		Name:       "dev",
+		ShortUsage: "sequoialead dev [--site DIR]",
+		ShortHelp:  "run a whole system with stand-ins in one process",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			s, err := readSite(*dir)
+			if err != nil {
+				return err
+			}
+			log := newLogger(deps, *verbosity)
+			k := kernel.New()
+			if err := buildSite(k, s, log); err != nil {
+				return err
+			}
+			return serve(ctx, &devKernel{Kernel: k, after: func(ctx context.Context) error {
+				if err := configure(ctx, s, filepath.Join(*dir, fileConfiguration)); err != nil {
+					return err
+				}
+				fmt.Fprintf(deps.Stdout, "ready: callers at http://%s, operator %q has the key %q; stop with Ctrl-C\n", s.Entries[0].Addr, s.Operator, s.Key)
+				return nil
+			}}, log, func() error { return nil })
+		},
+	}
+}
+
+// devKernel does something once all services run.
+type devKernel struct {
+	*kernel.Kernel
+	after func(context.Context) error
+}
+
+// Start starts the services.
+func (k *devKernel) Start(ctx context.Context) error {
+	if err := k.Kernel.Start(ctx); err != nil {
+		return err
+	}
+	return k.after(ctx)
+}
+
+func readSite(dir string) (*site.Site, error) {
+	path := filepath.Join(dir, fileSite)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, sequoialead.ErrSettings.Wrap(err, "%s cannot be read; give a folder with --site", path)
+	}
+	return site.Parse(path, raw)
+}
+
+// buildSite adds the stand-ins, agents and entries of a site to a kernel, each
+// with a kernel of its own.
+func buildSite(k *kernel.Kernel, s *site.Site, log klog.Logger) error {
+	k.Add("log", fakeServer(s.Log, fakelog.New()))
+	k.Add("list", fakeServer(s.List, fakelist.New(siteLines(s))))
+	for _, b := range s.Backends {
+		engine, err := fakeengine.New(fakeengine.Options{Full: b.Full, Cold: b.Cold, Work: b.Work, Token: b.Token, Blocks: devBlocks})
+		if err != nil {
+			return err
+		}
+		k.Add("backend/"+b.Name, fakeServer(b.Server, engine))
+		part := kernel.New()
+		if err := buildAgent(part, siteAgent(s, b)); err != nil {
+			return err
+		}
+		k.Add("agent/"+b.Name, part)
+	}
+	for _, e := range s.Entries {
+		part := kernel.New()
+		if err := buildEntry(part, siteEntry(s, e), log.WithValues("role", "entry", "instance", e.Name)); err != nil {
+			return err
+		}
+		k.Add("entry/"+e.Name, part)
+	}
+	return nil
+}
+
+func fakeServer(addr netip.AddrPort, handler http.Handler) sequoialead.Service {
+	return web.New(web.Options{Addr: addr, Handler: handler})
+}
+
+func siteLines(s *site.Site) []list.Line {
+	var lines []list.Line
+	for _, e := range s.Entries {
+		lines = append(lines, list.Line{Name: e.Name, Role: string(sequoialead.RoleEntry), Addr: e.Addr, Domain: e.Domain, Region: s.Region})
+	}
+	for _, b := range s.Backends {
+		lines = append(lines, list.Line{Name: b.Name, Role: string(sequoialead.RoleAgent), Addr: b.Addr, Pool: b.Pool, Domain: b.Domain, Region: s.Region})
+	}
+	return lines
+}
+
+func siteEntry(s *site.Site, e site.Entry) entrySettings {
+	return entrySettings{
+		name:      e.Name,
+		region:    s.Region,
+		domain:    e.Domain,
+		addr:      e.Addr,
+		log:       s.Log,
+		list:      s.List,
+		fleet:     s.Fleet,
+		operators: settings.Operators{digest(s.Key): s.Operator},
+		lag:       devLag,
+		grace:     devGrace,
+		snapshot:  defaultSnapshot,
+		cover:     defaultCover,
+		answer:    defaultAnswer,
+	}
+}
+
+func siteAgent(s *site.Site, b site.Backend) agentSettings {
+	return agentSettings{
+		name:    b.Name,
+		pool:    b.Pool,
+		region:  s.Region,
+		domain:  b.Domain,
+		addr:    b.Addr,
+		backend: b.Server,
+		fleet:   s.Fleet,
+		calls:   defaultCalls,
+		memory:  defaultMemory,
+		grace:   devGrace,
+	}
+}
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// configure makes the file the configuration's first version.
+func configure(ctx context.Context, s *site.Site, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, devSetupTimeout)
+	defer cancel()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return sequoialead.ErrSettings.Wrap(err, "%s cannot be read", path)
+	}
+	doc, err := document.Parse(path, raw)
+	if err != nil {
+		return err
+	}
+	client, err := console.New(console.Options{Entries: []netip.AddrPort{s.Entries[0].Addr}, Key: s.Key})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }() // always nil
+	answer, err := client.Patch(ctx, operator.PatchRequest{ID: uuid.New(), Changes: doc.Changes(), Note: "from " + path})
+	if err != nil {
+		return err
+	}
+	if answer.Audit.Verdict != sequoialead.VerdictAccepted {
+		return sequoialead.ErrInvalid.New("%s: %s", path, answer.Audit.Reason)
+	}
+	return awaitSite(ctx, client, answer.Audit.Version)
+}
+
+// awaitSite waits until the version is in force and all agents are connected.
+func awaitSite(ctx context.Context, client *console.Console, version sequoialead.Version) error {
+	for {
+		behind, err := listBehind(ctx, client, version)
+		if err == nil && len(behind) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return sequoialead.ErrPlatform.New("the system did not get ready; still behind: %v", behind)
+		case <-time.After(pollPeriod):
+		}
+	}
+}
--- /dev/null
+++ b/commands/drain.go
@@ -0,0 +1,62 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoialead"
+	"sequoialead/io/operator"
+)
+
+const (
+	kindDomain  = "domain"
+	kindBackend = "backend"
+)
+
+func newDrain(deps Deps) *ffcli.Command {
+	return newSwitch(deps, "drain", "take a failure domain or a backend server out", map[string]string{kindDomain: "out", kindBackend: "drained"})
+}
+
+// newSwitch returns a command that sets the state of a domain or backend server.
+func newSwitch(deps Deps, name, help string, states map[string]string) *ffcli.Command {
+	var p patchFlags
+	flags := newFlags("sequoialead "+name, deps)
+	p.consoleFlags.bind(flags)
+	p.bindWait(flags.StringVar, flags.BoolVar, flags.DurationVar)
+	base := flags.Int64("base", -1, "the version that you last saw; the current one if not given")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: fmt.Sprintf("sequoialead %s [FLAGS] domain|backend NAME", name),
+		ShortHelp:  help,
+		FlagSet:    flags,
+		Options:    p.options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 2 || states[args[0]] == "" {
+				return sequoialead.ErrSettings.New("give domain or backend and a name, for example: sequoialead %s domain nz-1", name)
+			}
+			version, err := p.base(ctx, *base)
+			if err != nil {
+				return err
+			}
+			change := sequoialead.Change{Section: args[0] + "." + args[1], Key: "state", Value: states[args[0]]}
+			return p.offer(ctx, deps, operator.PatchRequest{ID: uuid.New(), Base: version, Changes: []sequoialead.Change{change}, Note: p.note})
+		},
+	}
+}
+
+// base returns the version given, or else the current one.
+func (p *patchFlags) base(ctx context.Context, given int64) (sequoialead.Version, error) {
+	if given >= 0 {
+		return sequoialead.Version(given), nil
+	}
+	client, err := p.open()
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = client.Close() }() // always nil
+	answer, err := client.Show(ctx, "")
+	return answer.Version, err
+}
--- /dev/null
+++ b/commands/entry.go
@@ -0,0 +1,65 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"net/netip"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoialead/core/kernel"
+	"sequoialead/core/settings"
+)
+
+// Defaults of an entry's settings.
+const (
+	defaultLag      = 5 * time.Second
+	defaultGrace    = 30 * time.Second
+	defaultSnapshot = 10 * time.Minute
+	defaultCover    = 8
+	defaultAnswer   = 4 << 20
+)
+
+func (s *entrySettings) bind(flags *flag.FlagSet) {
+	flags.StringVar(&s.name, "name", "", "the instance's name in the instance list")
+	flags.StringVar(&s.region, "region", "", "the region that the instance is in")
+	flags.StringVar(&s.domain, "domain", "", "the failure domain that the instance is in")
+	flags.TextVar(&s.addr, "addr", netip.AddrPort{}, "IP:PORT to listen on")
+	flags.TextVar(&s.log, "log", netip.AddrPort{}, "IP:PORT of the platform's log")
+	flags.TextVar(&s.list, "list", netip.AddrPort{}, "IP:PORT of the platform's instance list")
+	flags.StringVar(&s.fleet, "fleet", "", "the fleet's key, the same in every process")
+	flags.Var(&s.operators, "operators", "NAME:SHA256 of each operator's key, with commas between")
+	flags.DurationVar(&s.lag, "lag", defaultLag, "how long the balancer takes to notice that the entry leaves, such as 5s")
+	flags.DurationVar(&s.grace, "grace", defaultGrace, "the longest wait for open requests when stopping, such as 30s")
+	flags.DurationVar(&s.snapshot, "snapshot", defaultSnapshot, "the longest time between snapshots in the log, below its retention, such as 10m")
+	flags.IntVar(&s.cover, "cover", defaultCover, "the number of entries that connect to each agent of a large pool")
+	flags.IntVar(&s.answer, "answer", defaultAnswer, "the largest answer in bytes")
+}
+
+func newEntry(deps Deps) *ffcli.Command {
+	var s entrySettings
+	flags := newFlags("sequoialead entry", deps)
+	s.bind(flags)
+	verbosity := flags.Int("verbosity", 0, "the level of log events, from 0")
+	flags.String("config", "", "the INI file with these settings")
+	parser := settings.New(flags, "name", "domain", "addr", "log", "list", "fleet", "operators")
+	return &ffcli.Command{
+		Name:       "entry",
+		ShortUsage: "sequoialead entry --config FILE [FLAGS]",
+		ShortHelp:  "run an entry, which takes callers' requests",
+		FlagSet:    flags,
+		Options:    options(parser),
+		Exec: func(ctx context.Context, _ []string) error {
+			if err := parser.Check(); err != nil {
+				return err
+			}
+			log := newLogger(deps, *verbosity).WithValues("role", "entry", "instance", s.name)
+			k := kernel.New()
+			if err := buildEntry(k, s, log); err != nil {
+				return err
+			}
+			return serve(ctx, k, log, func() error { return stopEntry(k, s.lag) })
+		},
+	}
+}
--- /dev/null
+++ b/commands/patch.go
@@ -0,0 +1,212 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoialead"
+	"sequoialead/core/document"
+	"sequoialead/io/console"
+	"sequoialead/io/operator"
+)
+
+const (
+	defaultPatchWait = 20 * time.Second
+	patchTries       = 5
+	pollPeriod       = 100 * time.Millisecond
+)
+
+// patchFlags are the flags of commands that change the configuration.
+type patchFlags struct {
+	consoleFlags
+	note string
+	wait bool
+	time time.Duration
+}
+
+func newPatch(deps Deps) *ffcli.Command {
+	var p patchFlags
+	flags := newFlags("sequoialead patch", deps)
+	p.consoleFlags.bind(flags)
+	base := flags.Int64("base", -1, "the version that you last saw, from 'sequoialead show'")
+	file := flags.String("file", "", "an INI file whose keys are all set")
+	id := flags.String("id", "", "the ID of an earlier try whose outcome is not known")
+	p.bindWait(flags.StringVar, flags.BoolVar, flags.DurationVar)
+	return &ffcli.Command{
+		Name:       "patch",
+		ShortUsage: "sequoialead patch --base N [FLAGS] SECTION.KEY=VALUE... [-- -SECTION.KEY... -SECTION:...]",
+		ShortHelp:  "change the configuration",
+		LongHelp:   "Exit codes: 0 accepted, 3 conflict, 4 invalid, 5 denied, 6 outcome not known.",
+		FlagSet:    flags,
+		Options:    p.options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if *base < 0 {
+				return sequoialead.ErrSettings.New("--base is missing; give the version that 'sequoialead show' printed")
+			}
+			changes, err := readChanges(*file, args)
+			if err != nil {
+				return err
+			}
+			request := operator.PatchRequest{ID: uuid.New(), Base: sequoialead.Version(*base), Changes: changes, Note: p.note}
+			if *id != "" {
+				if request.ID, err = uuid.Parse(*id); err != nil {
+					return sequoialead.ErrSettings.New("--id %q is not an ID; give the one that an earlier try printed", *id)
+				}
+			}
+			return p.offer(ctx, deps, request)
+		},
+	}
+}
+
+func (p *patchFlags) bindWait(text func(*string, string, string, string), flag func(*bool, string, bool, string), duration func(*time.Duration, string, time.Duration, string)) {
+	text(&p.note, "note", "", "a note for the audit trail")
+	flag(&p.wait, "wait", false, "wait until the change is in force everywhere")
+	duration(&p.time, "timeout", defaultPatchWait, "how long to wait")
+}
+
+func readChanges(file string, args []string) ([]sequoialead.Change, error) {
+	var changes []sequoialead.Change
+	if file != "" {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return nil, sequoialead.ErrSettings.Wrap(err, "--file %s cannot be read", file)
+		}
+		doc, err := document.Parse(file, raw)
+		if err != nil {
+			return nil, err
+		}
+		changes = doc.Changes()
+	}
+	for _, arg := range args {
+		change, err := document.ParseChange(arg)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, change)
+	}
+	if len(changes) == 0 {
+		return nil, sequoialead.ErrSettings.New("no change is given; write for example domain.nz-1.state=out")
+	}
+	return changes, nil
+}
+
+// offer sends a patch, again with the same ID while its outcome is not known,
+// and prints what became of it.
+func (p *patchFlags) offer(ctx context.Context, deps Deps, request operator.PatchRequest) error {
+	client, err := p.open()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }() // always nil
+	answer, err := backoff.Retry(ctx, func() (operator.PatchAnswer, error) {
+		answer, err := client.Patch(ctx, request)
+		if err == nil && answer.Trouble != "" {
+			err = sequoialead.ErrPlatform.New("%s", answer.Trouble)
+		}
+		if code(err) != ExitUnknown && err != nil {
+			err = backoff.Permanent(err)
+		}
+		return answer, err
+	}, backoff.WithMaxTries(patchTries), backoff.WithMaxElapsedTime(p.time))
+	if err != nil {
+		return sequoialead.ErrPlatform.Wrap(err, "the outcome of patch %s is not known; run the command again with --id %s", request.ID, request.ID)
+	}
+	if err := p.print(deps, answer); err != nil {
+		return err
+	}
+	if p.wait {
+		return p.await(ctx, deps, client, answer.Audit.Version)
+	}
+	return nil
+}
+
+func (p *patchFlags) print(deps Deps, answer operator.PatchAnswer) error {
+	if p.json {
+		if err := printJSON(deps.Stdout, answer); err != nil {
+			return err
+		}
+	}
+	audit := answer.Audit
+	switch audit.Verdict {
+	case sequoialead.VerdictAccepted:
+		if !p.json {
+			fmt.Fprintf(deps.Stdout, "accepted: version %d\n", audit.Version)
+		}
+		return nil
+	case sequoialead.VerdictConflict:
+		if !p.json {
+			printSince(deps, answer)
+		}
+		return sequoialead.ErrConflict.New("the configuration is at version %d, not %d; look at the changes with 'sequoialead show', then patch with --base %d", answer.Current, audit.Base, answer.Current)
+	case sequoialead.VerdictInvalid:
+		return sequoialead.ErrInvalid.New("the patch is not valid:\n%s", audit.Reason)
+	}
+	return sequoialead.ErrInvalid.New("the patch was judged %q: %s", audit.Verdict, audit.Reason)
+}
+
+func printSince(deps Deps, answer operator.PatchAnswer) {
+	for _, p := range answer.Since {
+		var changes []string
+		for _, c := range p.Changes {
+			changes = append(changes, c.String())
+		}
+		fmt.Fprintf(deps.Stdout, "version %d by %s at %s: %s\n", p.Version, p.Who, p.When.Format(time.RFC3339), strings.Join(changes, " "))
+	}
+}
+
+// await waits until every entry and agent goes by the version.
+func (p *patchFlags) await(ctx context.Context, deps Deps, client *console.Console, version sequoialead.Version) error {
+	ctx, cancel := context.WithTimeout(ctx, p.time)
+	defer cancel()
+	began := deps.Now()
+	for {
+		behind, err := listBehind(ctx, client, version)
+		if err == nil && len(behind) == 0 {
+			if !p.json {
+				fmt.Fprintf(deps.Stdout, "in force everywhere after %s\n", deps.Now().Sub(began).Round(time.Millisecond))
+			}
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			if err != nil {
+				return err
+			}
+			return sequoialead.ErrPlatform.New("version %d is accepted but not yet in force at: %s; see 'sequoialead status'", version, strings.Join(behind, ", "))
+		case <-time.After(pollPeriod):
+		}
+	}
+}
+
+func listBehind(ctx context.Context, client *console.Console, version sequoialead.Version) ([]string, error) {
+	first, err := client.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var behind []string
+	seen := map[string]bool{}
+	for _, e := range first.Entries {
+		status, err := client.StatusOf(ctx, e.Addr)
+		if err != nil {
+			behind = append(behind, e.Name+" (no answer)")
+			continue
+		}
+		if status.Version < version {
+			behind = append(behind, e.Name)
+		}
+		for _, a := range status.Agents {
+			if !seen[a.Name] && !a.Leaving && a.Version < version {
+				behind = append(behind, a.Name)
+				seen[a.Name] = true
+			}
+		}
+	}
+	return behind, nil
+}
--- /dev/null
+++ b/commands/status.go
@@ -0,0 +1,72 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoialead/io/operator"
+)
+
+func newStatus(deps Deps) *ffcli.Command {
+	var c consoleFlags
+	flags := newFlags("sequoialead status", deps)
+	c.bind(flags)
+	return &ffcli.Command{
+		Name:       "status",
+		ShortUsage: "sequoialead status [FLAGS]",
+		ShortHelp:  "print what an entry knows of the system",
+		FlagSet:    flags,
+		Options:    c.options(),
+		Exec: func(ctx context.Context, _ []string) error {
+			client, err := c.open()
+			if err != nil {
+				return err
+			}
+			defer func() { _ = client.Close() }() // always nil
+			answer, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if c.json {
+				return printJSON(deps.Stdout, answer)
+			}
+			return printStatus(deps, answer)
+		},
+	}
+}
+
+func printStatus(deps Deps, s operator.StatusAnswer) error {
+	fmt.Fprintf(deps.Stdout, "entry %s in %s: version %d, %d requests open, log read %s ago\n",
+		s.Name, s.Domain, s.Version, s.Open, age(deps, s.LogRead))
+	if len(s.Out) > 0 {
+		fmt.Fprintf(deps.Stdout, "failure domains out: %s\n", strings.Join(s.Out, " "))
+	}
+	rows := [][]string{{"AGENT", "POOL", "DOMAIN", "STATE", "LIMIT", "RUNNING", "WAITING", "VERSION"}}
+	for _, a := range s.Agents {
+		state := "in"
+		switch {
+		case !a.Connected:
+			state = "unreachable"
+		case a.Leaving:
+			state = "leaving"
+		}
+		rows = append(rows, []string{
+			a.Name, a.Pool, a.Domain, state,
+			strconv.Itoa(a.Limit), strconv.Itoa(a.Running), strconv.Itoa(a.Waiting),
+			strconv.FormatUint(uint64(a.Version), 10),
+		})
+	}
+	return printTable(deps.Stdout, rows)
+}
+
+func age(deps Deps, t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return deps.Now().Sub(t).Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/common/line/line.go
@@ -0,0 +1,93 @@
+// Package line writes each log event as one line of key=value pairs.
+package line
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"k8s.io/klog/v2"
+)
+
+// Sink is the end of a klog logger.
+type Sink struct {
+	out *output
+	// level is the highest verbosity that is written.
+	level int
+	pairs []any
+	name  string
+	now   func() time.Time
+}
+
+type output struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+var _ logr.LogSink = (*Sink)(nil)
+
+// New returns a logger that writes events up to a verbosity.
+func New(w io.Writer, level int, now func() time.Time) klog.Logger {
+	return klog.New(&Sink{out: &output{w: w}, level: level, now: now})
+}
+
+// Init does nothing.
+func (s *Sink) Init(logr.RuntimeInfo) {}
+
+// Enabled reports whether events of a verbosity are written.
+func (s *Sink) Enabled(level int) bool { return level <= s.level }
+
+// Info writes an event.
+func (s *Sink) Info(level int, event string, pairs ...any) {
+	s.write("info", event, append([]any{"level", level}, pairs...))
+}
+
+// Error writes a failure.
+func (s *Sink) Error(err error, event string, pairs ...any) {
+	s.write("error", event, append([]any{"err", err}, pairs...))
+}
+
+// WithValues returns a sink that adds pairs to each event.
+func (s *Sink) WithValues(pairs ...any) logr.LogSink {
+	next := *s
+	next.pairs = append(append([]any(nil), s.pairs...), pairs...)
+	return &next
+}
+
+// WithName returns a sink that adds a name to each event.
+func (s *Sink) WithName(name string) logr.LogSink {
+	next := *s
+	next.name = name
+	return &next
+}
+
+func (s *Sink) write(severity, event string, pairs []any) {
+	var b bytes.Buffer
+	b.WriteString("time=" + s.now().UTC().Format(time.RFC3339Nano))
+	b.WriteString(" severity=" + severity)
+	b.WriteString(" event=" + quote(event))
+	if s.name != "" {
+		b.WriteString(" name=" + quote(s.name))
+	}
+	for _, list := range [][]any{s.pairs, pairs} {
+		for i := 0; i+1 < len(list); i += 2 {
+			b.WriteString(" " + fmt.Sprint(list[i]) + "=" + quote(fmt.Sprint(list[i+1])))
+		}
+	}
+	b.WriteByte('\n')
+	s.out.mu.Lock()
+	defer s.out.mu.Unlock()
+	_, _ = s.out.w.Write(b.Bytes()) // nowhere to report it
+}
+
+func quote(text string) string {
+	if text == "" || strings.ContainsAny(text, " \t\n\"=") {
+		return strconv.Quote(text)
+	}
+	return text
+}
--- /dev/null
+++ b/core/admit/admit.go
@@ -0,0 +1,92 @@
+// Package admit estimates how long a request would wait for a pool, from the
+// requests that were admitted and have yet to pass it.
+package admit
+
+import "time"
+
+type account struct {
+	committed int
+	share     int
+}
+
+type pool struct {
+	committed int
+	// shares is the sum of the shares of the customers with requests.
+	shares    int
+	customers map[string]*account
+}
+
+// Book counts the admitted requests by pool and customer. It is not safe for
+// concurrent use.
+type Book struct {
+	// pools holds no pool and no customer without requests.
+	pools map[string]*pool
+}
+
+// New returns an empty book.
+func New() *Book { return &Book{pools: map[string]*pool{}} }
+
+// Add counts a request that will pass a pool.
+func (b *Book) Add(name, customer string, share int) {
+	p := b.pools[name]
+	if p == nil {
+		p = &pool{customers: map[string]*account{}}
+		b.pools[name] = p
+	}
+	a := p.customers[customer]
+	if a == nil {
+		a = &account{share: max(share, 1)}
+		p.customers[customer] = a
+		p.shares += a.share
+	}
+	a.committed++
+	p.committed++
+}
+
+// Done counts a request that has passed a pool, or never will.
+func (b *Book) Done(name, customer string) {
+	p := b.pools[name]
+	if p == nil || p.customers[customer] == nil {
+		return
+	}
+	a := p.customers[customer]
+	a.committed--
+	p.committed--
+	if a.committed == 0 {
+		delete(p.customers, customer)
+		p.shares -= a.share
+	}
+	if p.committed == 0 {
+		delete(b.pools, name)
+	}
+}
+
+// Committed returns the number of requests that have yet to pass a pool.
+func (b *Book) Committed(name string) int {
+	if p := b.pools[name]; p != nil {
+		return p.committed
+	}
+	return 0
+}
+
+// Wait estimates how long one more request would wait for a pool that runs the
+// given number at once. If fair, a customer waits for its own requests beyond
+// its share; else everyone waits for all.
+func (b *Book) Wait(name, customer string, share, slots int, service time.Duration, fair bool) time.Duration {
+	p := b.pools[name]
+	if p == nil || slots <= 0 || p.committed < slots {
+		return 0
+	}
+	ahead, rate := float64(p.committed), float64(slots)
+	if fair {
+		own, shares := 0, p.shares
+		if a := p.customers[customer]; a != nil {
+			own = a.committed
+		} else {
+			shares += max(share, 1)
+		}
+		rate = float64(slots) * float64(max(share, 1)) / float64(shares)
+		ahead = float64(own)
+	}
+	return time.Duration(max(ahead-rate+1, 0) / rate * float64(service))
+}
--- /dev/null
+++ b/core/agent/job.go
@@ -0,0 +1,153 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"sequoialead"
+	"sequoialead/core/calls"
+	"sequoialead/core/frame"
+)
+
+// job is a call of the table with what serves it.
+type job struct {
+	item *calls.Item
+	// cancel stops the call at the backend server; nil while it waits.
+	cancel context.CancelFunc
+	// reason is why the call was cancelled.
+	reason sequoialead.Reason
+	// attached is the delivery of the answer, if an entry is connected.
+	attached *delivery
+	// detached is when the last connection was lost; zero while one is there.
+	detached time.Time
+	ended    time.Time
+}
+
+func (j *job) stop() {
+	if j.cancel != nil {
+		j.cancel()
+	}
+}
+
+// orphaned reports whether nobody has waited for the answer for a while.
+func (j *job) orphaned(now time.Time) bool {
+	return !j.detached.IsZero() && now.Sub(j.detached) > OrphanTimeout
+}
+
+// over reports whether the call has ended or never will start.
+func (j *job) over() bool {
+	return j.item.State == calls.Ended || j.item.State == calls.Barred
+}
+
+// settled reports whether the job is over and only the table's entry counts.
+func (j *job) settled(now time.Time) bool {
+	return j.over() && now.Sub(j.ended) > EndGrace+time.Until(j.item.Deadline)
+}
+
+func (j *job) wake() {
+	if j.attached != nil {
+		j.attached.wake()
+	}
+}
+
+// delivery sends a call's answer over one connection.
+type delivery struct {
+	to Sender
+	// next is the sequence number of the next chunk to send.
+	next uint32
+	// credit is the number of bytes that may still be sent.
+	credit int
+	woken  chan struct{}
+	// replaced is closed once another delivery has taken over.
+	replaced chan struct{}
+}
+
+func (d *delivery) wake() {
+	select {
+	case d.woken <- struct{}{}:
+	default:
+	}
+}
+
+// attach starts to deliver a job's answer over a connection, in place of any
+// earlier one.
+func (a *Agent) attach(j *job, to Sender, from uint32, credit int) {
+	if j.attached != nil {
+		close(j.attached.replaced)
+	}
+	d := &delivery{
+		to:       to,
+		next:     from,
+		credit:   credit,
+		woken:    make(chan struct{}, 1),
+		replaced: make(chan struct{}),
+	}
+	j.attached = d
+	j.detached = time.Time{}
+	a.tomb.Go(func() error {
+		a.deliver(j, d)
+		return nil
+	})
+}
+
+func (a *Agent) deliver(j *job, d *delivery) {
+	for {
+		batch, last := a.take(j, d)
+		for _, f := range batch {
+			if d.to.Send(f) != nil {
+				a.detach(j, d)
+				return
+			}
+		}
+		if last {
+			return
+		}
+		if len(batch) > 0 {
+			continue
+		}
+		select {
+		case <-d.woken:
+		case <-d.replaced:
+			return
+		case <-d.to.Gone():
+			a.detach(j, d)
+			return
+		case <-a.tomb.Dying():
+			return
+		}
+	}
+}
+
+// take returns the messages that may be sent now, and whether the end is among
+// them.
+func (a *Agent) take(j *job, d *delivery) ([]frame.Frame, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if j.attached != d {
+		return nil, true
+	}
+	id := j.item.Call.ID
+	var batch []frame.Frame
+	for int(d.next) < len(j.item.Chunks) && d.credit > 0 {
+		data := j.item.Chunks[d.next]
+		batch = append(batch, frame.Frame{Chunk: &frame.Chunk{ID: id, Chunk: sequoialead.Chunk{Seq: d.next, Data: data}}})
+		d.credit -= len(data)
+		d.next++
+	}
+	if !j.over() || int(d.next) < len(j.item.Chunks) {
+		return batch, false
+	}
+	end := j.item.End
+	end.Load = a.load()
+	batch = append(batch, frame.Frame{End: &frame.End{ID: id, End: end}})
+	return batch, true
+}
+
+func (a *Agent) detach(j *job, d *delivery) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if j.attached == d {
+		j.attached = nil
+		j.detached = time.Now()
+	}
+}
--- /dev/null
+++ b/core/agent/run.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"sequoialead"
+	"sequoialead/core/calls"
+	"sequoialead/core/limit"
+)
+
+// pump starts waiting calls as far as the limit allows.
+func (a *Agent) pump(now time.Time) {
+	for len(a.waiting) > 0 {
+		j := a.waiting[0]
+		if j.item.State != calls.Waiting {
+			a.waiting = a.waiting[1:]
+			continue
+		}
+		if reason := a.unfit(j, now); reason != "" {
+			a.refuse(j, reason, now)
+			continue
+		}
+		if !a.limit.Room() {
+			return
+		}
+		if !a.limit.Sure() {
+			a.wakeProbe()
+			return
+		}
+		a.waiting = a.waiting[1:]
+		a.start(j, now)
+	}
+}
+
+func (a *Agent) unfit(j *job, now time.Time) sequoialead.Reason {
+	if now.After(j.item.Deadline) {
+		return sequoialead.ReasonDeadline
+	}
+	return a.gate(j.item.Call, now)
+}
+
+// refuse ends a waiting call that was not started.
+func (a *Agent) refuse(j *job, reason sequoialead.Reason, now time.Time) {
+	if _, barred := a.table.Bar(j.item.Call.ID, reason, now); !barred {
+		return
+	}
+	a.stats.Refused++
+	j.ended = now
+	j.wake()
+}
+
+// cancel stops a call that nobody waits for. A non-idempotent call that was
+// started runs to its end, so that its end is known.
+func (a *Agent) cancel(j *job, reason sequoialead.Reason, now time.Time) {
+	switch j.item.State {
+	case calls.Waiting:
+		a.refuse(j, reason, now)
+	case calls.Running:
+		if j.item.Call.Idempotent && j.reason == "" {
+			j.reason = reason
+			j.stop()
+		}
+	}
+}
+
+func (a *Agent) start(j *job, now time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), j.item.Deadline)
+	j.cancel = cancel
+	ticket := a.limit.Send(now)
+	boot := a.limit.Boot()
+	a.table.Start(j.item)
+	a.stats.Started++
+	call := j.item.Call
+	a.tomb.Go(func() error {
+		defer cancel()
+		end, err := a.opts.Backend.Do(ctx, call, boot, &reply{agent: a, job: j})
+		a.finish(j, ticket, now, end, err)
+		return nil
+	})
+}
+
+// reply stores an answer as it arrives.
+type reply struct {
+	agent *Agent
+	job   *job
+}
+
+var _ sequoialead.Reply = (*reply)(nil)
+
+// Chunk adds data to the call's answer.
+func (r *reply) Chunk(data []byte) error {
+	r.agent.mu.Lock()
+	defer r.agent.mu.Unlock()
+	if !r.agent.table.Append(r.job.item, data) {
+		r.job.reason = sequoialead.ReasonMemory
+		return sequoialead.ErrFailed.New("the answer does not fit in memory; raise 'memory' in the agent's settings")
+	}
+	r.job.wake()
+	return nil
+}
+
+func (a *Agent) finish(j *job, ticket *limit.Ticket, began time.Time, end sequoialead.End, err error) {
+	now := time.Now()
+	service := now.Sub(began)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		end = a.failure(j, err)
+	} else {
+		end.Ending = sequoialead.EndDone
+	}
+	end.Service = service
+	a.limit.Done(ticket, end.Ending == sequoialead.EndDone, service)
+	a.count(end)
+	a.table.Finish(j.item, end, now)
+	j.ended = now
+	j.wake()
+	a.pump(now)
+}
+
+// failure turns a backend server's error into a truthful end.
+func (a *Agent) failure(j *job, err error) sequoialead.End {
+	end := sequoialead.End{Reason: sequoialead.ReasonBackend, Detail: err.Error()}
+	switch {
+	case errorx.IsOfType(err, sequoialead.ErrUnsent), errorx.IsOfType(err, sequoialead.ErrFenced):
+		a.suspect()
+		end.Ending = sequoialead.EndRefused
+	case j.reason != "":
+		end.Ending = sequoialead.EndFailed
+		end.Reason = j.reason
+	case errorx.IsOfType(err, sequoialead.ErrFailed):
+		end.Ending = sequoialead.EndFailed
+	default:
+		end.Ending = sequoialead.EndLost
+		if time.Now().After(j.item.Deadline) {
+			end.Reason = sequoialead.ReasonDeadline
+		} else {
+			a.suspect()
+		}
+	}
+	return end
+}
+
+// suspect falls back to cold and asks at once which life the backend server
+// is in.
+func (a *Agent) suspect() {
+	a.limit.Suspect()
+	a.wakeProbe()
+}
+
+func (a *Agent) count(end sequoialead.End) {
+	switch end.Ending {
+	case sequoialead.EndDone:
+		a.stats.Done++
+	case sequoialead.EndFailed:
+		a.stats.Failed++
+	case sequoialead.EndLost:
+		a.stats.Lost++
+	case sequoialead.EndRefused:
+		a.stats.Refused++
+	}
+}
--- /dev/null
+++ b/core/entry/dispatch.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"sequoialead"
+	"sequoialead/core/config"
+	"sequoialead/core/route"
+)
+
+// waiter is a stage that waits for an agent with room.
+type waiter struct {
+	prefix string
+	// given is sent the chosen peer, once.
+	given chan sequoialead.Peer
+	// avoid holds the agents that refused or failed this stage already.
+	avoid map[string]bool
+}
+
+// seat is a place at an agent that a stage holds until its attempt ends.
+type seat struct {
+	peer sequoialead.Peer
+	name string
+}
+
+// acquire waits for an agent of the pool with room. It returns an empty seat
+// if the context ended first.
+func (e *Entry) acquire(ctx context.Context, t task, avoid map[string]bool) (seat, sequoialead.Reason) {
+	w := &waiter{prefix: t.prefix, given: make(chan sequoialead.Peer, 1), avoid: avoid}
+	e.mu.Lock()
+	p := e.pool(t.stage.Pool)
+	if reason := e.absent(p); reason != "" {
+		e.mu.Unlock()
+		return seat{}, reason
+	}
+	ticket := p.queue.Push(t.customer.Name, e.weight(t.customer), t.index > 0, w)
+	e.pump(p, time.Now())
+	e.mu.Unlock()
+	select {
+	case peer := <-w.given:
+		return e.seated(peer), ""
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	p.queue.Remove(ticket)
+	e.mu.Unlock()
+	select {
+	case peer := <-w.given: // given at the last moment
+		e.release(t.stage.Pool, e.seated(peer))
+	default:
+	}
+	return seat{}, sequoialead.ReasonDeadline
+}
+
+func (e *Entry) seated(peer sequoialead.Peer) seat {
+	hello, _ := peer.Hello()
+	return seat{peer: peer, name: hello.Name}
+}
+
+// weight returns a customer's share, or 1 for all where fairness is off.
+func (e *Entry) weight(c config.Customer) int {
+	conf, _ := e.opts.Configuration.Current()
+	if !conf.Policy.Fair {
+		return 1
+	}
+	return c.Share
+}
+
+// release gives a seat back.
+func (e *Entry) release(pool string, s seat) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pool(pool)
+	p.open[s.name]--
+	if p.open[s.name] <= 0 {
+		delete(p.open, s.name)
+	}
+	e.pump(p, time.Now())
+}
+
+// absent returns why no agent of the pool can ever take a call as things
+// stand, or an empty reason.
+func (e *Entry) absent(p *pool) sequoialead.Reason {
+	if len(e.routable(p)) > 0 {
+		return ""
+	}
+	return sequoialead.ReasonNone
+}
+
+// option is an agent that may be routed to.
+type option struct {
+	peer      sequoialead.Peer
+	candidate sequoialead.Candidate
+}
+
+// routable returns the agents that operators and the agents themselves allow
+// to be used, full ones included.
+func (e *Entry) routable(p *pool) []option {
+	conf, _ := e.opts.Configuration.Current()
+	var options []option
+	for _, peer := range e.opts.Members.Peers(p.name) {
+		c, ok := peer.Candidate()
+		if !ok || conf.Out[c.Domain] || conf.Drained[c.Name] {
+			continue
+		}
+		options = append(options, option{peer: peer, candidate: e.account(p, c)})
+	}
+	return options
+}
+
+// account adds to a reading what was sent since it was taken.
+func (e *Entry) account(p *pool, c sequoialead.Candidate) sequoialead.Candidate {
+	if !c.At.Equal(p.read[c.Name]) {
+		p.read[c.Name] = c.At
+		p.since[c.Name] = 0
+	}
+	c.Open = p.open[c.Name]
+	c.Load.Waiting += p.since[c.Name]
+	return c
+}
+
+// pump gives waiting stages to agents while there is room. The caller holds mu.
+func (e *Entry) pump(p *pool, now time.Time) {
+	if p.queue.Len() == 0 {
+		return
+	}
+	options := e.roomy(p, now)
+	for len(options) > 0 {
+		ticket := p.queue.Peek()
+		if ticket == nil {
+			return
+		}
+		w := ticket.Value.(*waiter)
+		chosen := e.choose(p, options, w)
+		p.queue.Pop()
+		e.take(p, options, chosen)
+		w.given <- options[chosen].peer
+		if !room(options[chosen].candidate) {
+			options = append(options[:chosen], options[chosen+1:]...)
+		}
+	}
+}
+
+// take counts a call that is about to be sent to an option.
+func (e *Entry) take(p *pool, options []option, chosen int) {
+	c := &options[chosen].candidate
+	p.open[c.Name]++
+	p.since[c.Name]++
+	p.ejector.Probe(c.Name)
+	c.Open++
+	c.Load.Waiting++
+}
+
+func room(c sequoialead.Candidate) bool { return c.Busy() < 1 }
+
+// roomy returns the routable agents with room, less the ejected ones.
+func (e *Entry) roomy(p *pool, now time.Time) []option {
+	conf, _ := e.opts.Configuration.Current()
+	options := e.routable(p)
+	names := make([]string, 0, len(options))
+	for _, o := range options {
+		names = append(names, o.candidate.Name)
+	}
+	keep := p.ejector.Keep(names, now)
+	var roomy []option
+	for _, o := range options {
+		ejected := conf.Policy.Eject && !keep[o.candidate.Name]
+		if !ejected && room(o.candidate) {
+			roomy = append(roomy, o)
+		}
+	}
+	return roomy
+}
+
+// choose returns the index of the option for a waiting stage.
+func (e *Entry) choose(p *pool, options []option, w *waiter) int {
+	conf, _ := e.opts.Configuration.Current()
+	if p.router == nil || p.policy != conf.Policy.Router {
+		p.policy = conf.Policy.Router
+		p.router = route.New(p.policy, e.opts.Domain, e.opts.Random)
+	}
+	var index []int
+	var candidates []sequoialead.Candidate
+	for i, o := range options {
+		if !w.avoid[o.candidate.Name] {
+			index = append(index, i)
+			candidates = append(candidates, o.candidate)
+		}
+	}
+	if len(candidates) == 0 {
+		for i, o := range options {
+			index = append(index, i)
+			candidates = append(candidates, o.candidate)
+		}
+	}
+	return index[p.router.Pick(candidates, w.prefix)]
+}
+
+// slots returns how many calls the pool's agents run at once. The caller
+// holds mu.
+func (e *Entry) slots(p *pool) int {
+	sum := 0
+	for _, o := range e.routable(p) {
+		sum += o.candidate.Load.Limit
+	}
+	return sum
+}
--- /dev/null
+++ b/io/caller/stream.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"sequoialead"
+)
+
+const (
+	writeTimeout = 10 * time.Second
+)
+
+// token is the data of a token event.
+type token struct {
+	Text string `json:"text"`
+}
+
+// stream sends an answer as server-sent events. The status is sent with the
+// first token, so that a request refused before that is told by its status.
+type stream struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	begun   bool
+}
+
+var _ sequoialead.Sink = (*stream)(nil)
+
+func newStream(w http.ResponseWriter) *stream {
+	return &stream{w: w, control: http.NewResponseController(w)}
+}
+
+func (s *stream) begin() {
+	s.begun = true
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// Token sends a piece of text.
+func (s *stream) Token(text string) error {
+	if !s.begun {
+		s.begin()
+	}
+	return s.event("token", token{Text: text})
+}
+
+func (s *stream) event(name string, value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	if err := s.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(s.w, "event: %s\ndata: %s\n\n", name, raw); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
+
+// end sends the last event, which tells whether the answer is whole.
+func (s *stream) end(a sequoialead.Answer) {
+	if !s.begun && a.Outcome != sequoialead.OutcomeDone {
+		respond(s.w, a)
+		return
+	}
+	if !s.begun {
+		s.begin()
+	}
+	answer := wire(a)
+	answer.Text = ""                       // sent in token events
+	_ = s.event(string(a.Outcome), answer) // client gone
+}
--- /dev/null
+++ b/io/link/link.go
@@ -0,0 +1,198 @@
+// Package link carries frames over one WebSocket connection, as sequences of
+// CBOR items.
+package link
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gorilla/websocket"
+	"gopkg.in/tomb.v2"
+
+	"sequoialead"
+	"sequoialead/core/frame"
+)
+
+// Bounds of a connection.
+const (
+	QueueFrames  = 256
+	BatchBytes   = 64 << 10
+	MessageBytes = 16 << 20
+	WriteTimeout = 2 * time.Second
+	// DefaultSilence is how long a connection may bring nothing.
+	DefaultSilence = 3 * time.Second
+)
+
+// Options configures a link.
+type Options struct {
+	Conn *websocket.Conn
+	// Handle takes each frame in order. It must not block for long.
+	Handle func(*Link, frame.Frame)
+	// Silence is how long the connection may bring nothing before it is closed.
+	Silence time.Duration
+}
+
+// Link is one open connection.
+type Link struct {
+	opts  Options
+	tomb  tomb.Tomb
+	queue chan frame.Frame
+	meter meter
+}
+
+// New starts a link over an open connection.
+func New(opts Options) *Link {
+	if opts.Silence == 0 {
+		opts.Silence = DefaultSilence
+	}
+	l := &Link{opts: opts, queue: make(chan frame.Frame, QueueFrames)}
+	l.meter.last.Store(time.Now().UnixNano())
+	opts.Conn.SetReadLimit(MessageBytes)
+	l.tomb.Go(l.read)
+	l.tomb.Go(l.write)
+	l.tomb.Go(func() error {
+		<-l.tomb.Dying()
+		return opts.Conn.Close()
+	})
+	return l
+}
+
+// Send queues a frame. It blocks while the queue is full.
+func (l *Link) Send(f frame.Frame) error {
+	select {
+	case l.queue <- f:
+		return nil
+	case <-l.tomb.Dying():
+		return sequoialead.ErrClosed.New("the connection is closed; use another")
+	}
+}
+
+// Gone is closed once the link is.
+func (l *Link) Gone() <-chan struct{} { return l.tomb.Dying() }
+
+// Err returns why the link was closed.
+func (l *Link) Err() error { return l.tomb.Err() }
+
+// Bytes returns the bytes received and sent so far.
+func (l *Link) Bytes() (received, sent uint64) {
+	return l.meter.received.Load(), l.meter.sent.Load()
+}
+
+// Quiet returns how long the link has brought nothing.
+func (l *Link) Quiet() time.Duration {
+	return time.Since(time.Unix(0, l.meter.last.Load()))
+}
+
+// Close closes the connection and waits until the link's work has stopped. It
+// must not be called from Handle.
+func (l *Link) Close() error {
+	l.tomb.Kill(nil)
+	_ = l.tomb.Wait() // the cause is told by Err
+	return nil
+}
+
+// Drop closes the connection without waiting.
+func (l *Link) Drop(err error) { l.tomb.Kill(err) }
+
+func (l *Link) read() error {
+	last := time.Now()
+	for {
+		if err := l.opts.Conn.SetReadDeadline(time.Now().Add(l.opts.Silence)); err != nil {
+			return err
+		}
+		kind, message, err := l.opts.Conn.ReadMessage()
+		if err != nil {
+			return sequoialead.ErrLost.Wrap(err, "the connection is gone; it is opened anew")
+		}
+		// A frame that waited longer than the silence allowed may have been
+		// given up by its sender.
+		now := time.Now()
+		if now.Sub(last) > 2*l.opts.Silence {
+			return sequoialead.ErrLost.New("the connection was silent for %s; it is opened anew", now.Sub(last))
+		}
+		last = now
+		l.meter.last.Store(now.UnixNano())
+		if kind != websocket.BinaryMessage {
+			return sequoialead.ErrProtocol.New("a message is not binary; update the peer")
+		}
+		l.meter.received.Add(uint64(len(message)))
+		if err := l.decode(message); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *Link) decode(message []byte) error {
+	frames, err := Decode(message)
+	if err != nil {
+		return err
+	}
+	for _, f := range frames {
+		l.opts.Handle(l, f)
+	}
+	return nil
+}
+
+// Decode reads the frames of a message.
+func Decode(message []byte) ([]frame.Frame, error) {
+	var frames []frame.Frame
+	for len(message) > 0 {
+		var f frame.Frame
+		rest, err := cbor.UnmarshalFirst(message, &f)
+		if err != nil {
+			return nil, sequoialead.ErrProtocol.Wrap(err, "a frame cannot be read; update the peer")
+		}
+		frames = append(frames, f)
+		message = rest
+	}
+	return frames, nil
+}
+
+func (l *Link) write() error {
+	var buffer bytes.Buffer
+	encoder := cbor.NewEncoder(&buffer)
+	for {
+		select {
+		case <-l.tomb.Dying():
+			return nil
+		case f := <-l.queue:
+			if err := l.batch(&buffer, encoder, f); err != nil {
+				return err
+			}
+		}
+		if err := l.flush(&buffer); err != nil {
+			return err
+		}
+	}
+}
+
+// batch encodes a frame and those queued behind it into one message.
+func (l *Link) batch(buffer *bytes.Buffer, encoder *cbor.Encoder, f frame.Frame) error {
+	for {
+		if err := encoder.Encode(f); err != nil {
+			return sequoialead.ErrProtocol.Wrap(err, "a frame cannot be encoded; report this as a defect")
+		}
+		if buffer.Len() >= BatchBytes {
+			return nil
+		}
+		select {
+		case f = <-l.queue:
+		default:
+			return nil
+		}
+	}
+}
+
+func (l *Link) flush(buffer *bytes.Buffer) error {
+	if err := l.opts.Conn.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
+		return err
+	}
+	l.meter.sent.Add(uint64(buffer.Len()))
+	err := l.opts.Conn.WriteMessage(websocket.BinaryMessage, buffer.Bytes())
+	buffer.Reset()
+	if err != nil {
+		return sequoialead.ErrLost.Wrap(err, "the connection is gone; it is opened anew")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/log/log.go
@@ -0,0 +1,105 @@
+// Package log speaks to the platform's append-only log over HTTP.
+package log
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"sequoialead"
+)
+
+const (
+	maxAnswer    = 64 << 20
+	dialTimeout  = time.Second
+	answerBuffer = 2 * time.Second
+)
+
+// Record is the wire form of a record.
+type Record struct {
+	Offset uint64    `json:"offset"`
+	Time   time.Time `json:"time"`
+	Data   []byte    `json:"data"`
+}
+
+// Batch is the wire form of the answer to a read.
+type Batch struct {
+	Records []Record `json:"records"`
+	Oldest  uint64   `json:"oldest"`
+	Next    uint64   `json:"next"`
+}
+
+// Appended is the wire form of the answer to an append.
+type Appended struct {
+	Offset uint64 `json:"offset"`
+}
+
+// Log is a client of the log.
+type Log struct {
+	addr netip.AddrPort
+	http *http.Client
+}
+
+var _ sequoialead.Log = (*Log)(nil)
+
+// New returns a client of the log at an address.
+func New(addr netip.AddrPort) *Log {
+	return &Log{addr: addr, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+}
+
+// Close drops idle connections.
+func (l *Log) Close() error {
+	l.http.CloseIdleConnections()
+	return nil
+}
+
+// Append adds a record.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	var answer Appended
+	url := fmt.Sprintf("http://%s/streams/%s", l.addr, stream)
+	if err := l.exchange(ctx, http.MethodPost, url, data, &answer); err != nil {
+		return 0, err
+	}
+	return answer.Offset, nil
+}
+
+// Read returns records from an offset on.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (sequoialead.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerBuffer)
+	defer cancel()
+	var answer Batch
+	url := fmt.Sprintf("http://%s/streams/%s?from=%d&wait=%s", l.addr, stream, from, wait)
+	if err := l.exchange(ctx, http.MethodGet, url, nil, &answer); err != nil {
+		return sequoialead.Batch{}, err
+	}
+	batch := sequoialead.Batch{Oldest: answer.Oldest, Next: answer.Next}
+	for _, r := range answer.Records {
+		batch.Records = append(batch.Records, sequoialead.Record(r))
+	}
+	return batch, nil
+}
+
+func (l *Log) exchange(ctx context.Context, method, url string, body []byte, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return sequoialead.ErrSettings.Wrap(err, "the log cannot be asked; check 'log'")
+	}
+	request.GetBody = nil // an append is never sent twice by the client
+	response, err := l.http.Do(request)
+	if err != nil {
+		return sequoialead.ErrPlatform.Wrap(err, "the log at %s does not answer; check it and 'log'", l.addr)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return sequoialead.ErrPlatform.New("the log at %s answered %d; check it", l.addr, response.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(answer); err != nil {
+		return sequoialead.ErrPlatform.Wrap(err, "the log at %s sent an answer that cannot be read; check it", l.addr)
+	}
+	return nil
+}
