--- a/commands/build.go
+++ b/commands/build.go
@@ -16,6 +16,7 @@
 
 	"sequoialead"
 	coreagent "sequoialead/core/agent"
+	"sequoialead/core/claims"
 	coreentry "sequoialead/core/entry"
 	"sequoialead/core/fleet"
 	"sequoialead/core/follow"
@@ -36,6 +37,7 @@
 // Names under which services find each other.
 const (
 	nameFollow = "follow"
+	nameClaims = "claims"
 	nameFleet  = "fleet"
 	nameEntry  = "entry"
 	nameAgent  = "agent"
@@ -55,6 +57,7 @@
 	lag       time.Duration
 	grace     time.Duration
 	snapshot  time.Duration
+	window    time.Duration
 	cover     int
 	answer    int
 }
@@ -82,10 +85,11 @@
 	if err != nil {
 		return err
 	}
+	platform := iolog.New(s.log)
 	var members *fleet.Fleet
 	follower, err := follow.New(follow.Options{
 		Sealer:         sealer,
-		Log:            iolog.New(s.log),
+		Log:            platform,
 		SnapshotPeriod: s.snapshot,
 		Changed: func(v sequoialead.Version) {
 			log.Info("version", "version", v)
@@ -95,6 +99,7 @@
 	if err != nil {
 		return err
 	}
+	claimer := claims.New(claims.Options{Log: platform, Sealer: sealer, Window: s.window})
 	var entry *coreentry.Entry
 	members = fleet.New(fleet.Options{
 		List:   list.New(s.list),
@@ -115,10 +120,12 @@
 		Domain:        s.domain,
 		Configuration: follower,
 		Members:       members,
+		Claims:        claimer,
 		Random:        rand.New(rand.NewPCG(seed, seed)),
 		AnswerBytes:   s.answer,
 	})
 	k.Add(nameFollow, follower)
+	k.Add(nameClaims, claimer)
 	k.Add(nameFleet, members)
 	k.Offer(nameEntry, entry)
 	return buildFront(k, s, log)
--- a/commands/dev.go
+++ b/commands/dev.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"sequoialead"
+	"sequoialead/core/claims"
 	"sequoialead/core/document"
 	"sequoialead/core/kernel"
 	"sequoialead/core/settings"
@@ -146,6 +147,7 @@
 		lag:       devLag,
 		grace:     devGrace,
 		snapshot:  defaultSnapshot,
+		window:    claims.DefaultWindow,
 		cover:     defaultCover,
 		answer:    defaultAnswer,
 	}
--- a/commands/drain.go
+++ b/commands/drain.go
@@ -24,8 +24,8 @@
 func newSwitch(deps Deps, name, help string, states map[string]string) *ffcli.Command {
 	var p patchFlags
 	flags := newFlags("sequoialead "+name, deps)
-	p.consoleFlags.bind(flags)
-	p.bindWait(flags.StringVar, flags.BoolVar, flags.DurationVar)
+	p.bind(flags)
+	p.bindWait(flags)
 	base := flags.Int64("base", -1, "the version that you last saw; the current one if not given")
 	return &ffcli.Command{
 		Name:       name,
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"sequoialead/core/claims"
 	"sequoialead/core/kernel"
 	"sequoialead/core/settings"
 )
@@ -33,6 +34,7 @@
 	flags.DurationVar(&s.lag, "lag", defaultLag, "how long the balancer takes to notice that the entry leaves, such as 5s")
 	flags.DurationVar(&s.grace, "grace", defaultGrace, "the longest wait for open requests when stopping, such as 30s")
 	flags.DurationVar(&s.snapshot, "snapshot", defaultSnapshot, "the longest time between snapshots in the log, below its retention, such as 10m")
+	flags.DurationVar(&s.window, "window", claims.DefaultWindow, "how long an idempotency key is remembered, below the log's retention, such as 1h")
 	flags.IntVar(&s.cover, "cover", defaultCover, "the number of entries that connect to each agent of a large pool")
 	flags.IntVar(&s.answer, "answer", defaultAnswer, "the largest answer in bytes")
 }
--- a/commands/patch.go
+++ b/commands/patch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -34,11 +35,11 @@
 func newPatch(deps Deps) *ffcli.Command {
 	var p patchFlags
 	flags := newFlags("sequoialead patch", deps)
-	p.consoleFlags.bind(flags)
+	p.bind(flags)
 	base := flags.Int64("base", -1, "the version that you last saw, from 'sequoialead show'")
 	file := flags.String("file", "", "an INI file whose keys are all set")
 	id := flags.String("id", "", "the ID of an earlier try whose outcome is not known")
-	p.bindWait(flags.StringVar, flags.BoolVar, flags.DurationVar)
+	p.bindWait(flags)
 	return &ffcli.Command{
 		Name:       "patch",
 		ShortUsage: "sequoialead patch --base N [FLAGS] SECTION.KEY=VALUE... [-- -SECTION.KEY... -SECTION:...]",
@@ -65,10 +66,10 @@
 	}
 }
 
-func (p *patchFlags) bindWait(text func(*string, string, string, string), flag func(*bool, string, bool, string), duration func(*time.Duration, string, time.Duration, string)) {
-	text(&p.note, "note", "", "a note for the audit trail")
-	flag(&p.wait, "wait", false, "wait until the change is in force everywhere")
-	duration(&p.time, "timeout", defaultPatchWait, "how long to wait")
+func (p *patchFlags) bindWait(flags *flag.FlagSet) {
+	flags.StringVar(&p.note, "note", "", "a note for the audit trail")
+	flags.BoolVar(&p.wait, "wait", false, "wait until the change is in force everywhere")
+	flags.DurationVar(&p.time, "timeout", defaultPatchWait, "how long to wait")
 }
 
 func readChanges(file string, args []string) ([]sequoialead.Change, error) {
--- /dev/null
+++ b/core/assemble/assemble_test.go
@@ -0,0 +1,36 @@
+package assemble_test
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sequoialead"
+	"sequoialead/core/assemble"
+)
+
+// Delivers chunks late, twice and in any order, and checks that what comes out
+// is always a prefix of the answer, and the whole of it once Whole says so.
+func TestAnyOrderGivesThePrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pieces := rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 1, 5), 1, 20).Draw(t, "pieces")
+		whole := bytes.Join(pieces, nil)
+		b := assemble.New(rapid.IntRange(0, 100).Draw(t, "max"))
+		var got []byte
+		for range rapid.IntRange(0, 100).Draw(t, "deliveries") {
+			i := rapid.IntRange(0, len(pieces)-1).Draw(t, "which")
+			got = append(got, bytes.Join(b.Add(sequoialead.Chunk{Seq: uint32(i), Data: pieces[i]}), nil)...)
+			if !bytes.HasPrefix(whole, got) {
+				t.Fatalf("%q is not a prefix of %q", got, whole)
+			}
+		}
+		for !b.Whole(uint32(len(pieces))) {
+			i := b.Next()
+			got = append(got, bytes.Join(b.Add(sequoialead.Chunk{Seq: i, Data: pieces[i]}), nil)...)
+		}
+		if !bytes.Equal(got, whole) {
+			t.Fatalf("%q is not %q", got, whole)
+		}
+	})
+}
--- a/core/entry/run.go
+++ b/core/entry/run.go
@@ -147,8 +147,10 @@
 	}
 	held, known := r.entry.opts.Claims.Claim(ctx, r.request)
 	if known != nil {
-		known.Version = r.version
-		known.Stages = r.reports
+		if !known.Repeat {
+			known.Version = r.version
+			known.Stages = r.reports
+		}
 		return *known
 	}
 	r.held = held
--- /dev/null
+++ b/core/fold/fold_test.go
@@ -0,0 +1,200 @@
+package fold_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"sequoialead"
+	"sequoialead/core/fold"
+	"sequoialead/core/frame"
+	"sequoialead/core/seal"
+)
+
+const key = "0123456789abcdef"
+
+type fataler interface{ Fatalf(string, ...any) }
+
+func newFold(t fataler, key string) *fold.Fold {
+	sealer, err := seal.New(key)
+	if err != nil {
+		t.Fatalf("sealer: %v", err)
+	}
+	f, err := fold.New(sealer)
+	if err != nil {
+		t.Fatalf("fold: %v", err)
+	}
+	return f
+}
+
+// propose makes a patch against a fold's current version.
+func propose(t fataler, f *fold.Fold, id byte, changes ...sequoialead.Change) []byte {
+	raw, err := f.EncodePatch(sequoialead.Patch{
+		ID:      uuid.UUID{id},
+		Who:     "mere",
+		Base:    f.Version(),
+		Prior:   f.Digest(),
+		Changes: changes,
+	})
+	if err != nil {
+		t.Fatalf("patch: %v", err)
+	}
+	return raw
+}
+
+func out(domain string) sequoialead.Change {
+	return sequoialead.Change{Section: "domain." + domain, Key: "state", Value: "out"}
+}
+
+func record(offset uint64, raw []byte) sequoialead.Record {
+	return sequoialead.Record{Offset: offset, Time: time.Unix(int64(offset), 0), Data: raw}
+}
+
+func verdicts(f *fold.Fold) []sequoialead.Verdict {
+	var all []sequoialead.Verdict
+	for _, a := range f.Audits() {
+		all = append(all, a.Verdict)
+	}
+	return all
+}
+
+func TestVerdicts(t *testing.T) {
+	c := qt.New(t)
+	f := newFold(t, key)
+	first := propose(t, f, 1, out("a"))
+	rival := propose(t, f, 2, out("b"))
+	f.Add(record(0, first))
+	f.Add(record(1, rival))
+	f.Add(record(2, first))
+	f.Add(record(3, propose(t, f, 3, sequoialead.Change{Section: "pool.x", Key: "full", Value: "none"})))
+	f.Add(record(4, propose(t, newFold(t, "another key of 16 bytes"), 4, out("c"))))
+	c.Assert(verdicts(f), qt.DeepEquals, []sequoialead.Verdict{
+		sequoialead.VerdictAccepted, sequoialead.VerdictConflict, sequoialead.VerdictRepeat,
+		sequoialead.VerdictInvalid, sequoialead.VerdictForged,
+	})
+	c.Assert(f.Version(), qt.Equals, sequoialead.Version(1))
+	c.Assert(f.Config().Out, qt.DeepEquals, map[string]bool{"a": true})
+}
+
+func TestLearnRefusesWhatTheFleetDidNotAccept(t *testing.T) {
+	c := qt.New(t)
+	f := newFold(t, key)
+	winner := propose(t, f, 1, out("a"))
+	loser := propose(t, f, 2, out("b"))
+	f.Add(record(0, winner))
+	relay, ok := f.Relay(0)
+	c.Assert(ok, qt.IsTrue)
+
+	fresh := newFold(t, key)
+	forged := frame.Relay{Patches: []frame.Accepted{{Raw: loser, Token: relay.Patches[0].Token}}}
+	_, err := fresh.Learn(forged)
+	c.Assert(err, qt.ErrorMatches, ".*did not accept.*")
+	c.Assert(fresh.Version(), qt.Equals, sequoialead.Version(0))
+
+	changed, err := fresh.Learn(relay)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changed, qt.IsTrue)
+	c.Assert(fresh.Digest(), qt.Equals, f.Digest())
+}
+
+func TestSnapshotNeverReverts(t *testing.T) {
+	c := qt.New(t)
+	f := newFold(t, key)
+	f.Add(record(0, propose(t, f, 1, out("a"))))
+	raw, err := f.EncodeSnapshot()
+	c.Assert(err, qt.IsNil)
+	f.Add(record(1, propose(t, f, 2, out("b"))))
+	old, ok := f.Snapshot(raw)
+	c.Assert(ok, qt.IsTrue)
+	changed, err := f.Restore(old, true)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changed, qt.IsFalse)
+	c.Assert(f.Version(), qt.Equals, sequoialead.Version(2))
+}
+
+func TestAtReplaysEarlierVersions(t *testing.T) {
+	c := qt.New(t)
+	f := newFold(t, key)
+	for i := range fold.LinksKept + 10 {
+		f.Add(record(uint64(i), propose(t, f, byte(i), out(fmt.Sprint("d", i%7)))))
+	}
+	last, err := f.At(f.Version())
+	c.Assert(err, qt.IsNil)
+	c.Assert(last.String(), qt.Equals, f.Document().String())
+	early, err := f.At(9 + 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(early.Sections(), qt.HasLen, 7)
+	_, err = f.At(3)
+	c.Assert(err, qt.ErrorMatches, ".*not held here.*")
+}
+
+// Lets operators race, and processes read the log, relay, start late from
+// snapshots and repeat in any order. All must agree on each version, and none
+// may go back.
+func TestAnyOrderAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []sequoialead.Record
+		folds := []*fold.Fold{newFold(t, key), newFold(t, key), newFold(t, key)}
+		digests := map[sequoialead.Version]sequoialead.Digest{}
+		var raws [][]byte
+		post := func(raw []byte) { log = append(log, record(uint64(len(log)), raw)) }
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			f := folds[rapid.IntRange(0, len(folds)-1).Draw(t, "fold")]
+			before := f.Version()
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				raw := propose(t, f, byte(step), out(fmt.Sprint(step)))
+				raws = append(raws, raw)
+				post(raw)
+			case 2:
+				if len(raws) > 0 {
+					post(raws[rapid.IntRange(0, len(raws)-1).Draw(t, "again")])
+				}
+			case 3, 4:
+				if next := f.Next(); next < uint64(len(log)) {
+					f.Add(log[next])
+				}
+			case 5:
+				other := folds[rapid.IntRange(0, len(folds)-1).Draw(t, "other")]
+				if r, ok := other.Relay(f.Version()); ok {
+					if _, err := f.Learn(r); err != nil {
+						t.Fatalf("learn: %v", err)
+					}
+				}
+			case 6:
+				raw, err := f.EncodeSnapshot()
+				if err != nil {
+					t.Fatalf("snapshot: %v", err)
+				}
+				s, _ := f.Snapshot(raw)
+				fresh := newFold(t, key)
+				if _, err := fresh.Restore(s, true); err != nil {
+					t.Fatalf("restore: %v", err)
+				}
+				folds = append(folds, fresh)
+				post(raw)
+			}
+			if f.Version() < before {
+				t.Fatalf("version went from %d to %d", before, f.Version())
+			}
+			for _, f := range folds {
+				if d, ok := digests[f.Version()]; ok && d != f.Digest() {
+					t.Fatalf("two configurations of version %d", f.Version())
+				}
+				digests[f.Version()] = f.Digest()
+			}
+		}
+		for _, f := range folds {
+			for f.Next() < uint64(len(log)) {
+				f.Add(log[f.Next()])
+			}
+			if f.Version() != folds[0].Version() || f.Digest() != folds[0].Digest() {
+				t.Fatalf("after the whole log one is at %d, another at %d", f.Version(), folds[0].Version())
+			}
+		}
+	})
+}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -78,6 +78,8 @@
 	Status    int                       `json:"status,omitempty"`
 	Body      json.RawMessage           `json:"body,omitempty"`
 	Stages    []sequoialead.StageReport `json:"stages,omitempty"`
+	// Repeat is set where an earlier request with the same key was answered so.
+	Repeat bool `json:"repeat,omitempty"`
 }
 
 // New returns a handler.
@@ -228,6 +230,7 @@
 		Status:    a.Status,
 		Body:      a.Body,
 		Stages:    a.Stages,
+		Repeat:    a.Repeat,
 	}
 	if a.Reason != "" {
 		answer.Remedy = a.Reason.Remedy()
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -142,9 +142,7 @@
 	if call.Op.Streams() {
 		return stream(response.Body, reply)
 	}
-	end, err := whole(response.Body, reply)
-	end.Status = response.StatusCode
-	return end, err
+	return sequoialead.End{Status: response.StatusCode}, whole(response.Body, reply)
 }
 
 // unreachable tells a call that was surely not sent from one that may have been.
@@ -171,21 +169,21 @@
 }
 
 // whole hands out a body in pieces.
-func whole(body io.Reader, reply sequoialead.Reply) (sequoialead.End, error) {
+func whole(body io.Reader, reply sequoialead.Reply) error {
 	for {
 		piece := make([]byte, pieceBytes)
 		n, err := io.ReadFull(body, piece)
 		if n > 0 {
 			if rerr := reply.Chunk(piece[:n]); rerr != nil {
-				return sequoialead.End{}, rerr
+				return rerr
 			}
 		}
 		switch err {
 		case nil:
 		case io.EOF, io.ErrUnexpectedEOF:
-			return sequoialead.End{}, nil
+			return nil
 		default:
-			return sequoialead.End{}, sequoialead.ErrLost.Wrap(err, "the answer was cut; see the backend server's own logs")
+			return sequoialead.ErrLost.Wrap(err, "the answer was cut; see the backend server's own logs")
 		}
 	}
 }
--- a/peer.go
+++ b/peer.go
@@ -48,6 +48,9 @@
 	// Documents are the identities of what was retrieved, best first.
 	Documents []string
 	Stages    []StageReport
+	// Repeat is set where the answer is that of an earlier request with the
+	// same idempotency key.
+	Repeat bool
 }
 
 // StageState is how far a stage has come.
