--- a/commands/fake.go
+++ b/commands/fake.go
@@ -81,6 +81,7 @@
 	flags.DurationVar(&o.Work, "work", 10*time.Millisecond, "time of a call, or to a generation's first token")
 	flags.DurationVar(&o.Token, "token", time.Millisecond, "time between tokens of one stream")
 	flags.BoolVar(&o.Fence, "fence", false, "refuse orders for an earlier life")
+	flags.BoolVar(&o.Record, "record", false, "keep count of the runs of each piece of work")
 	flags.IntVar(&o.Blocks, "blocks", 4096, "prompt blocks that the prefix cache holds")
 	return &ffcli.Command{
 		Name:      "engine",
--- a/commands/patch.go
+++ b/commands/patch.go
@@ -203,10 +203,11 @@
 			behind = append(behind, e.Name)
 		}
 		for _, a := range status.Agents {
-			if !seen[a.Name] && !a.Leaving && a.Version < version {
-				behind = append(behind, a.Name)
-				seen[a.Name] = true
+			if seen[a.Name] || a.Leaving || a.Connected && a.Version >= version {
+				continue
 			}
+			seen[a.Name] = true
+			behind = append(behind, a.Name)
 		}
 	}
 	return behind, nil
--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -7,8 +7,12 @@
 	"sequoialead"
 	"sequoialead/core/config"
 	"sequoialead/core/route"
+	"sequoialead/core/shares"
 )
 
+// absentPeriod is the time between two checks for whether waiting makes sense.
+const absentPeriod = 250 * time.Millisecond
+
 // waiter is a stage that waits for an agent with room.
 type waiter struct {
 	prefix string
@@ -25,32 +29,53 @@
 }
 
 // acquire waits for an agent of the pool with room. It returns an empty seat
-// if the context ended first.
+// and the reason if there is none in time.
 func (e *Entry) acquire(ctx context.Context, t task, avoid map[string]bool) (seat, sequoialead.Reason) {
 	w := &waiter{prefix: t.prefix, given: make(chan sequoialead.Peer, 1), avoid: avoid}
 	e.mu.Lock()
 	p := e.pool(t.stage.Pool)
-	if reason := e.absent(p); reason != "" {
-		e.mu.Unlock()
-		return seat{}, reason
-	}
 	ticket := p.queue.Push(t.customer.Name, e.weight(t.customer), t.index > 0, w)
 	e.pump(p, time.Now())
 	e.mu.Unlock()
-	select {
-	case peer := <-w.given:
-		return e.seated(peer), ""
-	case <-ctx.Done():
+	ticker := time.NewTicker(absentPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case peer := <-w.given:
+			return e.seated(peer), ""
+		case <-ticker.C:
+			if reason := e.checkAbsent(p, t.index); reason != "" {
+				e.abandon(p, ticket, w)
+				return seat{}, reason
+			}
+		case <-ctx.Done():
+			e.abandon(p, ticket, w)
+			return seat{}, sequoialead.ReasonDeadline
+		}
+	}
+}
+
+// checkAbsent returns why a stage need not wait any longer. Later stages wait
+// to the end, because work was done for them.
+func (e *Entry) checkAbsent(p *pool, index int) sequoialead.Reason {
+	if index > 0 {
+		return ""
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.absent(p)
+}
+
+// abandon ends a wait, and gives back a seat that was given at the last moment.
+func (e *Entry) abandon(p *pool, ticket *shares.Ticket, w *waiter) {
 	e.mu.Lock()
 	p.queue.Remove(ticket)
 	e.mu.Unlock()
 	select {
-	case peer := <-w.given: // given at the last moment
-		e.release(t.stage.Pool, e.seated(peer))
+	case peer := <-w.given:
+		e.release(p.name, e.seated(peer))
 	default:
 	}
-	return seat{}, sequoialead.ReasonDeadline
 }
 
 func (e *Entry) seated(peer sequoialead.Peer) seat {
@@ -79,12 +104,19 @@
 	e.pump(p, time.Now())
 }
 
-// absent returns why no agent of the pool can ever take a call as things
-// stand, or an empty reason.
+// absent returns why no agent of the pool can take a call as things stand, or
+// an empty reason. Agents whose connection was lost just now count as present.
 func (e *Entry) absent(p *pool) sequoialead.Reason {
 	if len(e.routable(p)) > 0 {
 		return ""
 	}
+	conf, _ := e.opts.Configuration.Current()
+	for _, peer := range e.opts.Members.Peers(p.name) {
+		hello, _ := peer.Hello()
+		if peer.Reconnecting() && !conf.Out[hello.Domain] && !conf.Drained[hello.Name] {
+			return ""
+		}
+	}
 	return sequoialead.ReasonNone
 }
 
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -15,6 +15,7 @@
 	"goji.io"
 	"goji.io/pat"
 
+	"sequoialead"
 	ioengine "sequoialead/io/engine"
 )
 
@@ -33,6 +34,8 @@
 	Fence bool
 	// Blocks is the number of prompt blocks that the prefix cache holds.
 	Blocks int
+	// Record keeps count of the runs of each piece of work.
+	Record bool
 }
 
 // Fault is what is wrong with the server at the moment.
@@ -60,7 +63,7 @@
 	Hits     int `json:"hits"`
 	Lookups  int `json:"lookups"`
 	Canceled int `json:"canceled"`
-	// Runs counts the runs of each piece of work that carries an id.
+	// Runs counts the runs by operation and work.
 	Runs map[string]int `json:"runs"`
 }
 
@@ -221,6 +224,16 @@
 	return visit{boot: e.boot, fallen: e.fallen}, true
 }
 
+// ran records that a piece of work was begun.
+func (e *Engine) ran(op sequoialead.Op, work string) {
+	if !e.opts.Record {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Runs[string(op)+":"+work]++
+}
+
 // leave ends a call.
 func (e *Engine) leave(v visit, done bool) {
 	e.mu.Lock()
--- a/fake/engine/work.go
+++ b/fake/engine/work.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sequoialead"
 	"sequoialead/core/work"
 	ioengine "sequoialead/io/engine"
 )
@@ -22,8 +23,9 @@
 	corpus     = 64
 )
 
-// serve runs a call that is answered at once.
-func (e *Engine) serve(w http.ResponseWriter, r *http.Request, request any, make func() any) {
+// serve runs a call that is answered at once. The name function tells what is
+// done, once the request was read.
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request, request any, name func() (sequoialead.Op, string), make func() any) {
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -32,6 +34,7 @@
 	if !ok {
 		return
 	}
+	e.ran(name())
 	done := e.pass(r, v, e.opts.Work)
 	if !done {
 		e.leave(v, false)
@@ -44,7 +47,8 @@
 
 func (e *Engine) embed(w http.ResponseWriter, r *http.Request) {
 	var request work.EmbedRequest
-	e.serve(w, r, &request, func() any {
+	ran := func() (sequoialead.Op, string) { return sequoialead.OpEmbed, strings.Join(request.Input, " ") }
+	e.serve(w, r, &request, ran, func() any {
 		var response work.EmbedResponse
 		for _, text := range request.Input {
 			response.Data = append(response.Data, work.Embedding{Embedding: vector(text)})
@@ -64,7 +68,8 @@
 
 func (e *Engine) search(w http.ResponseWriter, r *http.Request) {
 	var request work.SearchRequest
-	e.serve(w, r, &request, func() any {
+	ran := func() (sequoialead.Op, string) { return sequoialead.OpSearch, request.Query }
+	e.serve(w, r, &request, ran, func() any {
 		var response work.SearchResponse
 		for i := range request.Top {
 			id := fmt.Sprintf("doc-%d", (xxhash.Sum64String(request.Query)+uint64(i))%corpus)
@@ -76,7 +81,8 @@
 
 func (e *Engine) rerank(w http.ResponseWriter, r *http.Request) {
 	var request work.RerankRequest
-	e.serve(w, r, &request, func() any {
+	ran := func() (sequoialead.Op, string) { return sequoialead.OpRerank, request.Query }
+	e.serve(w, r, &request, ran, func() any {
 		var response work.RerankResponse
 		for i := range min(request.Top, len(request.Documents)) {
 			response.Results = append(response.Results, work.Ranked{Index: len(request.Documents) - 1 - i, Score: 1 / float64(i+1)})
@@ -99,9 +105,7 @@
 	if !ok {
 		return
 	}
-	e.mu.Lock()
-	e.stats.Runs[request.ID]++
-	e.mu.Unlock()
+	e.ran(sequoialead.OpInvoke, request.ID)
 	if !e.pass(r, v, e.opts.Work) {
 		e.leave(v, false)
 		panic(http.ErrAbortHandler) // the connection breaks as the process would
@@ -133,9 +137,7 @@
 	if !ok {
 		return
 	}
-	e.mu.Lock()
-	e.stats.Runs[request.Prompt]++
-	e.mu.Unlock()
+	e.ran(sequoialead.OpGenerate, request.Prompt[strings.LastIndexByte(request.Prompt, '\n')+1:])
 	share := e.lookup(request.Prompt)
 	first := time.Duration(float64(e.opts.Work) * (1 - share))
 	if !e.pass(r, v, first) || !e.stream(w, r, v, request) {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -29,6 +29,7 @@
 	BeatIdle      = time.Second
 	SilenceBusy   = 700 * time.Millisecond
 	CancelWait    = 300 * time.Millisecond
+	ReconnectWait = 2 * time.Second
 	WindowBytes   = 64 << 10
 	DefaultLinks  = 2
 	creditQuantum = WindowBytes / 4
@@ -51,6 +52,8 @@
 	Changed func()
 }
 
+var _ sequoialead.Peer = (*Peer)(nil)
+
 // Peer is one agent as an entry sees it.
 type Peer struct {
 	opts Options
@@ -67,6 +70,8 @@
 	hello sequoialead.Hello
 	load  sequoialead.Load
 	at    time.Time
+	// lost is when the last connection was lost; zero before the first.
+	lost  time.Time
 	calls map[sequoialead.CallID]*pending
 	// linked is closed and replaced when a link is added.
 	linked chan struct{}
@@ -120,6 +125,13 @@
 	return p.hello, len(p.links) > 0
 }
 
+// Reconnecting reports whether the last connection was lost just now.
+func (p *Peer) Reconnecting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.links) == 0 && time.Since(p.lost) < ReconnectWait
+}
+
 // Candidate returns the agent for routing. It reports false while there is no
 // connection or the agent is leaving.
 func (p *Peer) Candidate() (sequoialead.Candidate, bool) {
@@ -211,6 +223,7 @@
 	for i, other := range p.links {
 		if other == l {
 			p.links = append(p.links[:i:i], p.links[i+1:]...)
+			p.lost = time.Now()
 			break
 		}
 	}
--- a/peer.go
+++ b/peer.go
@@ -10,6 +10,9 @@
 	// Candidate returns the agent for routing. It reports false while no call
 	// should be sent.
 	Candidate() (Candidate, bool)
+	// Reconnecting reports whether the connection was lost just now, so that it
+	// may be back before long.
+	Reconnecting() bool
 	// Call sends a call and hands its answer to the reply until the end.
 	Call(ctx context.Context, call Call, reply Reply) (End, error)
 	// SetLeaving takes the instance list's word on the agent.
--- /dev/null
+++ b/testscripts/calls_test.go
@@ -0,0 +1,214 @@
+package testscripts
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"sequoialead"
+	fakeengine "sequoialead/fake/engine"
+	"sequoialead/io/caller"
+)
+
+const callTimeout = 30 * time.Second
+
+// outcomeCut is that of a call whose entry went away before its answer's end.
+const outcomeCut = "cut"
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// call is one request with what came of it.
+type call struct {
+	id       string
+	pipeline string
+	key      string
+	stream   bool
+	deadline string
+	outcome  string
+	answer   caller.Answer
+	detail   string
+}
+
+// group is a set of calls that were made together.
+type group struct {
+	calls []*call
+	done  sync.WaitGroup
+}
+
+func (g *group) count(outcome string) int {
+	n := 0
+	for _, c := range g.calls {
+		if c.outcome == outcome {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *group) String() string {
+	counts := map[string]int{}
+	for _, c := range g.calls {
+		counts[strings.TrimSpace(c.outcome+" "+string(c.answer.Reason))]++
+	}
+	return fmt.Sprint(counts)
+}
+
+// order describes the calls to make.
+type order struct {
+	n, at    int
+	entries  []netip.AddrPort
+	pipeline string
+	key      string
+	stream   bool
+	deadline string
+	// pause is waited between two calls of one worker.
+	pause time.Duration
+}
+
+// launch makes calls, a number of them at a time, until all are done.
+func (f *fleet) launch(o order) *group {
+	g := &group{}
+	f.mu.Lock()
+	for range o.n {
+		c := &call{id: fmt.Sprint("work-", len(f.calls)), pipeline: o.pipeline, stream: o.stream, deadline: o.deadline}
+		switch {
+		case o.key == "each":
+			c.key = "key-" + c.id
+		case o.key != "":
+			c.key, c.id = o.key, "shared-"+o.key
+		}
+		f.calls = append(f.calls, c)
+		g.calls = append(g.calls, c)
+	}
+	f.mu.Unlock()
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: o.at}}
+	work := make(chan int, o.n)
+	for i := range o.n {
+		work <- i
+	}
+	close(work)
+	for range o.at {
+		g.done.Add(1)
+		go func() {
+			defer g.done.Done()
+			for i := range work {
+				g.calls[i].run(client, o.entries[i%len(o.entries)])
+				time.Sleep(o.pause)
+			}
+		}()
+	}
+	return g
+}
+
+func (c *call) run(client *http.Client, entry netip.AddrPort) {
+	body := caller.Body{Text: c.id, Stream: c.stream, Deadline: c.deadline}
+	body.Body, _ = json.Marshal(map[string]string{"id": c.id})
+	raw, _ := json.Marshal(body)
+	request, err := http.NewRequest(http.MethodPost, "http://"+entry.String()+"/v1/pipelines/"+c.pipeline, bytes.NewReader(raw))
+	if err != nil {
+		c.outcome, c.detail = outcomeCut, err.Error()
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+customerKey)
+	if c.key != "" {
+		request.Header.Set(caller.HeaderKey, c.key)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		c.outcome, c.detail = outcomeCut, err.Error()
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		err = c.events(response.Body)
+	} else {
+		err = json.NewDecoder(response.Body).Decode(&c.answer)
+	}
+	c.outcome = string(c.answer.Outcome)
+	if err != nil {
+		c.outcome, c.detail = outcomeCut, err.Error()
+	}
+}
+
+// events reads a streamed answer.
+func (c *call) events(body io.Reader) error {
+	var text strings.Builder
+	scanner := bufio.NewScanner(body)
+	name := ""
+	for scanner.Scan() {
+		if event, ok := strings.CutPrefix(scanner.Text(), "event: "); ok {
+			name = event
+		}
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if name != "token" {
+			err := json.Unmarshal([]byte(data), &c.answer)
+			c.answer.Text = text.String()
+			return err
+		}
+		var token struct{ Text string }
+		if err := json.Unmarshal([]byte(data), &token); err != nil {
+			return err
+		}
+		text.WriteString(token.Text)
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// wrong returns what is wrong with an answer, given the runs that the backend
+// servers recorded.
+func (c *call) wrong(runs map[string]int) string {
+	switch sequoialead.Outcome(c.outcome) {
+	case sequoialead.OutcomeDone:
+		return c.untrue()
+	case sequoialead.OutcomeNotRun:
+		for _, op := range []sequoialead.Op{sequoialead.OpEmbed, sequoialead.OpSearch, sequoialead.OpGenerate, sequoialead.OpInvoke} {
+			if n := runs[string(op)+":"+c.id]; n > 0 && c.key == "" {
+				return fmt.Sprintf("told not run (%s), but %s ran %d times", c.answer.Reason, op, n)
+			}
+		}
+	case sequoialead.OutcomeFailed, sequoialead.OutcomeUnknown, outcomeCut:
+	default:
+		return fmt.Sprintf("outcome %q is none", c.outcome)
+	}
+	return ""
+}
+
+// untrue returns why a whole answer is not that of its request.
+func (c *call) untrue() string {
+	if len(c.answer.Body) > 0 {
+		var body struct{ ID string }
+		if json.Unmarshal(c.answer.Body, &body) != nil || body.ID != c.id {
+			return fmt.Sprintf("the answer is %s", c.answer.Body)
+		}
+	}
+	if c.answer.Tokens == 0 && c.answer.Text == "" {
+		return ""
+	}
+	prompt := ""
+	for _, d := range c.answer.Documents {
+		prompt += "text of " + d + "\n"
+	}
+	want := ""
+	for i := range c.answer.Tokens {
+		want += fakeengine.Token(prompt+c.id, i)
+	}
+	if c.answer.Text != want || c.answer.Tokens == 0 {
+		return fmt.Sprintf("the text %q is not %q", c.answer.Text, want)
+	}
+	return ""
+}
--- /dev/null
+++ b/testscripts/fleet_test.go
@@ -0,0 +1,424 @@
+package testscripts
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"sequoialead/core/site"
+	fakeengine "sequoialead/fake/engine"
+	fakelog "sequoialead/fake/log"
+	"sequoialead/fake/proxy"
+	"sequoialead/io/console"
+	"sequoialead/io/list"
+)
+
+const (
+	operatorKey  = "operator-key"
+	customerKey  = "customer-key"
+	startTimeout = 10 * time.Second
+	stopTimeout  = 40 * time.Second
+)
+
+type fleetKey struct{}
+
+// process is one process of a fleet.
+type process struct {
+	args []string
+	cmd  *exec.Cmd
+	done chan error
+	log  *os.File
+}
+
+// fleet is a set of real processes with a proxy on each link.
+type fleet struct {
+	ports   *ports
+	dir     string
+	binary  string
+	site    *site.Site
+	procs   map[string]*process
+	proxies map[string]*proxy.Proxy
+	lines   []list.Line
+
+	mu     sync.Mutex
+	calls  []*call
+	groups map[string]*group
+	last   *group
+	marked map[string]int
+	// answered tells the answer to the latest request.
+	answered string
+	// gone holds what backend servers recorded before they were killed.
+	gone []fakeengine.Stats
+}
+
+// ports gives out ports below those that the system gives to connections, so
+// that no process of another fleet takes one in between.
+type ports struct {
+	next atomic.Int32
+}
+
+const firstPort = 11000
+
+func (p *ports) take() (netip.AddrPort, error) {
+	for range 1000 {
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+p.next.Add(1)))
+		l, err := net.Listen("tcp", addr.String())
+		if err == nil {
+			return addr, l.Close()
+		}
+	}
+	return netip.AddrPort{}, fmt.Errorf("no port is free above %d", firstPort)
+}
+
+// parse reads the short form of a site and gives out addresses.
+func (f *fleet) parse(text []byte) error {
+	file, err := ini.Load(text)
+	if err != nil {
+		return err
+	}
+	head := file.Section("site")
+	domains := strings.Fields(head.Key("domains").String())
+	f.site = &site.Site{Region: "test", Fleet: "a fleet key for tests", Operator: "mere", Key: operatorKey}
+	addrs := []*netip.AddrPort{&f.site.Log, &f.site.List}
+	for i := range head.Key("entries").MustInt(1) {
+		f.site.Entries = append(f.site.Entries, site.Entry{Name: fmt.Sprint("e", i+1), Domain: domains[i%len(domains)]})
+	}
+	n := 0
+	for _, section := range file.Sections() {
+		pool, ok := strings.CutPrefix(section.Name(), "pool.")
+		if !ok {
+			continue
+		}
+		for i := range section.Key("count").MustInt(1) {
+			f.site.Backends = append(f.site.Backends, site.Backend{
+				Name:   fmt.Sprint(pool, "-", i+1),
+				Pool:   pool,
+				Domain: domains[n%len(domains)],
+				Full:   section.Key("full").MustInt(8),
+				Cold:   section.Key("cold").MustInt(2),
+				Work:   section.Key("work").MustDuration(5 * time.Millisecond),
+				Token:  section.Key("token").MustDuration(time.Millisecond),
+			})
+			n++
+		}
+	}
+	for i := range f.site.Entries {
+		addrs = append(addrs, &f.site.Entries[i].Addr)
+	}
+	for i := range f.site.Backends {
+		addrs = append(addrs, &f.site.Backends[i].Addr, &f.site.Backends[i].Server)
+	}
+	for _, a := range addrs {
+		if *a, err = f.ports.take(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start starts all processes and waits until they listen.
+func (f *fleet) start(dir string, text []byte) error {
+	f.dir = dir
+	f.procs = map[string]*process{}
+	f.proxies = map[string]*proxy.Proxy{}
+	f.groups = map[string]*group{}
+	binary, err := exec.LookPath("sequoialead")
+	if err != nil {
+		return err
+	}
+	f.binary = binary
+	if err := f.parse(text); err != nil {
+		return err
+	}
+	if err := f.prepare(); err != nil {
+		return err
+	}
+	for name := range f.procs {
+		if err := f.run(name); err != nil {
+			return err
+		}
+	}
+	addrs := []netip.AddrPort{f.site.Log, f.site.List}
+	for _, e := range f.site.Entries {
+		addrs = append(addrs, e.Addr)
+	}
+	for _, b := range f.site.Backends {
+		addrs = append(addrs, b.Addr, b.Server)
+	}
+	for _, a := range addrs {
+		if err := listening(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// connected waits until every entry is connected to every agent.
+func (f *fleet) connected() error {
+	var addrs []netip.AddrPort
+	for _, e := range f.site.Entries {
+		addrs = append(addrs, e.Addr)
+	}
+	client, err := console.New(console.Options{Entries: addrs, Key: operatorKey})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }()
+	for _, addr := range addrs {
+		if err := f.connectedTo(client, addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) connectedTo(client *console.Console, addr netip.AddrPort) error {
+	n := 0
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		status, err := client.StatusOf(context.Background(), addr)
+		if err != nil {
+			return err
+		}
+		n = 0
+		for _, a := range status.Agents {
+			if a.Connected {
+				n++
+			}
+		}
+		if n == len(f.site.Backends) {
+			return nil
+		}
+	}
+	return fmt.Errorf("entry %s is connected to %d agents", addr, n)
+}
+
+func listening(addr netip.AddrPort) error {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		conn, err := net.Dial("tcp", addr.String())
+		if err == nil {
+			return conn.Close()
+		}
+	}
+	return fmt.Errorf("nothing listens on %s", addr)
+}
+
+func (f *fleet) link(name string, to netip.AddrPort) (netip.AddrPort, error) {
+	p, err := proxy.New(to)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	f.proxies[name] = p
+	return p.Addr(), p.Start(context.Background())
+}
+
+// prepare makes the proxies and the command line of each process.
+func (f *fleet) prepare() error {
+	f.procs["log"] = &process{args: []string{"fake", "log", "--addr", f.site.Log.String()}}
+	path := filepath.Join(f.dir, "instances.json")
+	f.procs["list"] = &process{args: []string{"fake", "list", "--addr", f.site.List.String(), "--file", path}}
+	for _, b := range f.site.Backends {
+		f.procs["backend:"+b.Name] = &process{args: []string{
+			"fake", "engine", "--record", "--addr", b.Server.String(),
+			"--full", fmt.Sprint(b.Full), "--cold", fmt.Sprint(b.Cold),
+			"--work", b.Work.String(), "--token", b.Token.String(),
+		}}
+		server, err := f.link("backend:"+b.Name, b.Server)
+		if err != nil {
+			return err
+		}
+		settings := fmt.Sprintf("name = %s\npool = %s\nregion = %s\ndomain = %s\naddr = %s\nbackend = %s\nfleet = %s\ngrace = 10s\n",
+			b.Name, b.Pool, f.site.Region, b.Domain, b.Addr, server, f.site.Fleet)
+		if err := f.settings("agent:"+b.Name, "agent", settings); err != nil {
+			return err
+		}
+		addr, err := f.link("agent:"+b.Name, b.Addr)
+		if err != nil {
+			return err
+		}
+		f.lines = append(f.lines, list.Line{Name: b.Name, Role: "agent", Addr: addr, Pool: b.Pool, Domain: b.Domain, Region: f.site.Region})
+	}
+	for _, e := range f.site.Entries {
+		log, err := f.link("log:"+e.Name, f.site.Log)
+		if err != nil {
+			return err
+		}
+		instances, err := f.link("list:"+e.Name, f.site.List)
+		if err != nil {
+			return err
+		}
+		settings := fmt.Sprintf("name = %s\nregion = %s\ndomain = %s\naddr = %s\nlog = %s\nlist = %s\nfleet = %s\noperators = mere:%s\nlag = 1s\ngrace = 20s\nsnapshot = 3s\n",
+			e.Name, f.site.Region, e.Domain, e.Addr, log, instances, f.site.Fleet, digest(operatorKey))
+		if err := f.settings("entry:"+e.Name, "entry", settings); err != nil {
+			return err
+		}
+		f.lines = append(f.lines, list.Line{Name: e.Name, Role: "entry", Addr: e.Addr, Domain: e.Domain, Region: f.site.Region})
+	}
+	raw, err := json.Marshal(f.lines)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, raw, 0o600)
+}
+
+func (f *fleet) settings(name, command, text string) error {
+	path := filepath.Join(f.dir, strings.ReplaceAll(name, ":", "-")+".ini")
+	f.procs[name] = &process{args: []string{command, "--config", path}}
+	return os.WriteFile(path, []byte(text), 0o600)
+}
+
+// run starts one process.
+func (f *fleet) run(name string) error {
+	p := f.procs[name]
+	if p == nil {
+		return fmt.Errorf("no process %q", name)
+	}
+	if p.log == nil {
+		log, err := os.Create(filepath.Join(f.dir, strings.ReplaceAll(name, ":", "-")+".log"))
+		if err != nil {
+			return err
+		}
+		p.log = log
+	}
+	p.cmd = exec.Command(f.binary, p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.done = make(chan error, 1)
+	go func(cmd *exec.Cmd, done chan error) { done <- cmd.Wait() }(p.cmd, p.done)
+	return nil
+}
+
+// end sends a process a signal and waits until it is gone.
+func (f *fleet) end(name string, signal syscall.Signal) error {
+	p := f.procs[name]
+	if p == nil || p.cmd == nil {
+		return fmt.Errorf("no process %q runs", name)
+	}
+	if strings.HasPrefix(name, "backend:") {
+		if s, err := f.stats(strings.TrimPrefix(name, "backend:")); err == nil {
+			f.gone = append(f.gone, s)
+		}
+	}
+	if err := p.cmd.Process.Signal(signal); err != nil {
+		return err
+	}
+	select {
+	case err := <-p.done:
+		p.cmd = nil
+		if signal == syscall.SIGTERM {
+			return err
+		}
+		return nil
+	case <-time.After(stopTimeout):
+		return fmt.Errorf("%s did not stop within %s", name, stopTimeout)
+	}
+}
+
+func (f *fleet) signal(name string, signal syscall.Signal) error {
+	p := f.procs[name]
+	if p == nil || p.cmd == nil {
+		return fmt.Errorf("no process %q runs", name)
+	}
+	return p.cmd.Process.Signal(signal)
+}
+
+func (f *fleet) close() {
+	for _, p := range f.procs {
+		if p.cmd != nil {
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
+		if p.log != nil {
+			_ = p.log.Close()
+		}
+	}
+	for _, p := range f.proxies {
+		_ = p.Close()
+	}
+}
+
+// setList publishes the instance list, with the named instances leaving.
+func (f *fleet) setList(leaving map[string]bool) error {
+	lines := append([]list.Line(nil), f.lines...)
+	for i := range lines {
+		lines[i].Leaving = leaving[lines[i].Name]
+	}
+	return post(f.site.List, list.Path, lines)
+}
+
+func post(addr netip.AddrPort, path string, value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	response, err := http.Post("http://"+addr.String()+path, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s%s answered %s", addr, path, response.Status)
+	}
+	return nil
+}
+
+func (f *fleet) logFault(fault fakelog.Fault) error { return post(f.site.Log, "/fault", fault) }
+
+func (f *fleet) backend(name string) (site.Backend, error) {
+	for _, b := range f.site.Backends {
+		if b.Name == name {
+			return b, nil
+		}
+	}
+	return site.Backend{}, fmt.Errorf("no backend server %q", name)
+}
+
+func (f *fleet) backendFault(name string, fault fakeengine.Fault) error {
+	b, err := f.backend(name)
+	if err != nil {
+		return err
+	}
+	return post(b.Server, "/fault", fault)
+}
+
+func (f *fleet) stats(name string) (fakeengine.Stats, error) {
+	var s fakeengine.Stats
+	b, err := f.backend(name)
+	if err != nil {
+		return s, err
+	}
+	response, err := http.Get("http://" + b.Server.String() + "/stats")
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return s, json.NewDecoder(response.Body).Decode(&s)
+}
+
+// selected returns the names of the backend servers that a word selects:
+// domain:NAME, pool:NAME or a name.
+func (f *fleet) selected(word string) []string {
+	var names []string
+	for _, b := range f.site.Backends {
+		if word == b.Name || word == "domain:"+b.Domain || word == "pool:"+b.Pool || word == "all" {
+			names = append(names, b.Name)
+		}
+	}
+	return names
+}
