--- a/commands/commands.go
+++ b/commands/commands.go
@@ -105,6 +105,7 @@
 		newAudit(deps),
 		newDrain(deps),
 		newRestore(deps),
+		newLoad(deps),
 		newKey(deps),
 		newFake(deps),
 	}
--- a/commands/console.go
+++ b/commands/console.go
@@ -33,7 +33,7 @@
 	return []ff.Option{ff.WithEnvVarPrefix(settings.Prefix)}
 }
 
-func (c *consoleFlags) open() (*console.Console, error) {
+func (c *consoleFlags) parseEntries() ([]netip.AddrPort, error) {
 	var entries []netip.AddrPort
 	for _, text := range strings.Split(c.entries, ",") {
 		entry, err := netip.ParseAddrPort(strings.TrimSpace(text))
@@ -42,6 +42,14 @@
 		}
 		entries = append(entries, entry)
 	}
+	return entries, nil
+}
+
+func (c *consoleFlags) open() (*console.Console, error) {
+	entries, err := c.parseEntries()
+	if err != nil {
+		return nil, err
+	}
 	return console.New(console.Options{Entries: entries, Key: c.key})
 }
 
--- /dev/null
+++ b/core/agent/agent_test.go
@@ -0,0 +1,368 @@
+package agent_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"go.uber.org/goleak"
+
+	"sequoialead"
+	"sequoialead/core/agent"
+	"sequoialead/core/config"
+	"sequoialead/core/frame"
+)
+
+const patience = 5 * time.Second
+
+// backend is a small fake of a backend server, whose calls end when told to.
+type backend struct {
+	mu      sync.Mutex
+	boot    sequoialead.Boot
+	probes  int
+	started []sequoialead.CallID
+	ends    map[sequoialead.CallID]chan error
+	arrived chan sequoialead.CallID
+}
+
+func newBackend() *backend {
+	return &backend{
+		boot:    sequoialead.Boot{ID: "a"},
+		ends:    map[sequoialead.CallID]chan error{},
+		arrived: make(chan sequoialead.CallID, 100),
+	}
+}
+
+func (b *backend) Probe(context.Context) (sequoialead.Boot, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.probes++
+	return b.boot, nil
+}
+
+func (b *backend) Do(ctx context.Context, call sequoialead.Call, _ sequoialead.Boot, reply sequoialead.Reply) (sequoialead.End, error) {
+	end := make(chan error, 1)
+	b.mu.Lock()
+	b.started = append(b.started, call.ID)
+	b.ends[call.ID] = end
+	b.mu.Unlock()
+	b.arrived <- call.ID
+	if err := reply.Chunk([]byte("chunk")); err != nil {
+		return sequoialead.End{}, err
+	}
+	select {
+	case err := <-end:
+		return sequoialead.End{Status: 200}, err
+	case <-ctx.Done():
+		return sequoialead.End{}, sequoialead.ErrLost.Wrap(ctx.Err(), "gone")
+	}
+}
+
+func (b *backend) Close() error { return nil }
+
+func (b *backend) end(id sequoialead.CallID, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ends[id] <- err
+}
+
+func (b *backend) startedCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.started)
+}
+
+// sender is a small fake of a connection to an entry.
+type sender struct {
+	frames chan frame.Frame
+	gone   chan struct{}
+}
+
+func newSender() *sender {
+	return &sender{frames: make(chan frame.Frame, 1000), gone: make(chan struct{})}
+}
+
+func (s *sender) Send(f frame.Frame) error {
+	select {
+	case <-s.gone:
+		return sequoialead.ErrClosed.New("gone")
+	default:
+	}
+	s.frames <- f
+	return nil
+}
+
+func (s *sender) Gone() <-chan struct{} { return s.gone }
+
+// end returns the end of a call, and the chunks before it.
+func (s *sender) end(c *qt.C, id sequoialead.CallID) (sequoialead.End, int) {
+	chunks := 0
+	for {
+		select {
+		case f := <-s.frames:
+			if f.Chunk != nil && f.Chunk.ID == id {
+				chunks++
+			}
+			if f.End != nil && f.End.ID == id {
+				return f.End.End, chunks
+			}
+		case <-time.After(patience):
+			c.Fatal("no end came")
+		}
+	}
+}
+
+type configuration struct {
+	mu   sync.Mutex
+	conf config.Config
+}
+
+func (f *configuration) Current() (*config.Config, sequoialead.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	conf := f.conf
+	return &conf, 1
+}
+
+func (f *configuration) set(change func(*config.Config)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.conf)
+}
+
+type bench struct {
+	agent   *agent.Agent
+	backend *backend
+	conf    *configuration
+	next    byte
+}
+
+func newBench(c *qt.C) *bench {
+	leaks := goleak.IgnoreCurrent()
+	b := &bench{backend: newBackend(), conf: &configuration{}}
+	b.conf.conf.Pools = map[string]config.Pool{"p": {Full: 8, Cold: 2, Queue: 4}}
+	b.conf.conf.Policy.Warm = true
+	a, err := agent.New(agent.Options{
+		Name: "x", Pool: "p", Domain: "d", Backend: b.backend, Configuration: b.conf, Calls: 100, Bytes: 10000,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Start(context.Background()), qt.IsNil)
+	b.agent = a
+	c.Cleanup(func() {
+		c.Check(a.Close(), qt.IsNil)
+		c.Check(goleak.Find(leaks), qt.IsNil)
+	})
+	return b
+}
+
+func (b *bench) call() sequoialead.Call {
+	b.next++
+	return sequoialead.Call{
+		ID:          sequoialead.CallID{Request: uuid.UUID{b.next}},
+		Incarnation: b.agent.Hello().Incarnation,
+		Pool:        "p",
+		Op:          sequoialead.OpInvoke,
+		Left:        time.Minute,
+		Idempotent:  true,
+		Credit:      1000,
+	}
+}
+
+func (b *bench) await(c *qt.C) sequoialead.CallID {
+	select {
+	case id := <-b.backend.arrived:
+		return id
+	case <-time.After(patience):
+		c.Fatal("no call reached the backend server")
+	}
+	return sequoialead.CallID{}
+}
+
+func TestRefusesBeforeStart(t *testing.T) {
+	tests := []struct {
+		desc   string
+		setup  func(*bench)
+		change func(*sequoialead.Call)
+		want   sequoialead.Reason
+	}{
+		{desc: "domain out", setup: func(b *bench) { b.conf.set(func(f *config.Config) { f.Out = map[string]bool{"d": true} }) }, want: sequoialead.ReasonDomain},
+		{desc: "drained", setup: func(b *bench) { b.conf.set(func(f *config.Config) { f.Drained = map[string]bool{"x": true} }) }, want: sequoialead.ReasonDisabled},
+		{desc: "leaving", setup: func(b *bench) { b.agent.Leave() }, want: sequoialead.ReasonLeaving},
+		{desc: "leaving by the list", setup: func(b *bench) { b.agent.Hint() }, want: sequoialead.ReasonLeaving},
+		{desc: "other incarnation", change: func(call *sequoialead.Call) { call.Incarnation = uuid.UUID{9} }, want: sequoialead.ReasonIncarnation},
+		{desc: "other pool", change: func(call *sequoialead.Call) { call.Pool = "q" }, want: sequoialead.ReasonPool},
+		{desc: "no time left", change: func(call *sequoialead.Call) { call.Left = -1 }, want: sequoialead.ReasonDeadline},
+		{desc: "large body", change: func(call *sequoialead.Call) { call.Body = make([]byte, 20000) }, want: sequoialead.ReasonMemory},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(c)
+			if tt.setup != nil {
+				tt.setup(b)
+			}
+			call := b.call()
+			if tt.change != nil {
+				tt.change(&call)
+			}
+			s := newSender()
+			b.agent.Call(call, s)
+			end, _ := s.end(c, call.ID)
+			c.Assert(end.Ending, qt.Equals, sequoialead.EndRefused)
+			c.Assert(end.Reason, qt.Equals, tt.want)
+			c.Assert(b.backend.startedCount(), qt.Equals, 0)
+		})
+	}
+}
+
+// A cancel that overtakes its call is answered with "never started", and the
+// call that arrives later is not run.
+func TestCancelBeforeCall(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	s := newSender()
+	call := b.call()
+	b.agent.Cancel(call.ID, s)
+	end, _ := s.end(c, call.ID)
+	c.Assert(end.Ending, qt.Equals, sequoialead.EndRefused)
+	b.agent.Call(call, s)
+	end, _ = s.end(c, call.ID)
+	c.Assert(end.Ending, qt.Equals, sequoialead.EndRefused)
+	c.Assert(b.backend.startedCount(), qt.Equals, 0)
+}
+
+// The same call over another connection attaches to the first, runs once, and
+// brings the whole answer from where the entry says.
+func TestSameCallAttaches(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	silent, fresh := newSender(), newSender()
+	call := b.call()
+	b.agent.Call(call, silent)
+	id := b.await(c)
+	b.agent.Call(call, fresh)
+	b.backend.end(id, nil)
+	end, chunks := fresh.end(c, id)
+	c.Assert(end.Ending, qt.Equals, sequoialead.EndDone)
+	c.Assert(end.Count, qt.Equals, uint32(1))
+	c.Assert(chunks, qt.Equals, 1)
+	b.agent.Ack(id)
+	b.agent.Call(call, fresh)
+	end, _ = fresh.end(c, id)
+	c.Assert(end.Ending, qt.Equals, sequoialead.EndLost)
+	c.Assert(b.backend.startedCount(), qt.Equals, 1)
+}
+
+// A call that was started is never told as refused, and a non-idempotent one
+// runs to its end whoever cancels it.
+func TestCancelAfterStart(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	s := newSender()
+	call := b.call()
+	call.Idempotent = false
+	b.agent.Call(call, s)
+	id := b.await(c)
+	b.agent.Cancel(id, s)
+	b.backend.end(id, nil)
+	end, _ := s.end(c, id)
+	c.Assert(end.Ending, qt.Equals, sequoialead.EndDone)
+
+	call = b.call()
+	b.agent.Call(call, s)
+	id = b.await(c)
+	b.agent.Cancel(id, s)
+	end, _ = s.end(c, id)
+	c.Assert(end.Ending, qt.Equals, sequoialead.EndFailed)
+	c.Assert(end.Reason, qt.Equals, sequoialead.ReasonCancelled)
+}
+
+func TestEndsTellWhatIsKnown(t *testing.T) {
+	tests := []struct {
+		desc string
+		err  error
+		want sequoialead.Ending
+	}{
+		{"not sent", sequoialead.ErrUnsent.New("x"), sequoialead.EndRefused},
+		{"fenced", sequoialead.ErrFenced.New("x"), sequoialead.EndRefused},
+		{"failed", sequoialead.ErrFailed.New("x"), sequoialead.EndFailed},
+		{"lost", sequoialead.ErrLost.New("x"), sequoialead.EndLost},
+		{"anything else", context.Canceled, sequoialead.EndLost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(c)
+			s := newSender()
+			b.agent.Call(b.call(), s)
+			id := b.await(c)
+			b.backend.end(id, tt.err)
+			end, _ := s.end(c, id)
+			c.Assert(end.Ending, qt.Equals, tt.want)
+		})
+	}
+}
+
+// While calls hang that were sent to an earlier life of the backend server, a
+// later one gets no more than its cold limit.
+func TestColdLimitWhileOldCallsHang(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	s := newSender()
+	for range 14 {
+		b.agent.Call(b.call(), s)
+		id := b.await(c)
+		b.backend.end(id, nil)
+		s.end(c, id)
+	}
+	c.Assert(b.agent.Load().Limit, qt.Equals, 8)
+	b.backend.mu.Lock()
+	b.backend.boot = sequoialead.Boot{ID: "b"}
+	b.backend.mu.Unlock()
+	before := b.backend.startedCount()
+	for range 8 {
+		b.agent.Call(b.call(), s)
+	}
+	b.await(c)
+	b.await(c)
+	for b.agent.Load().Limit != 2 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(b.backend.startedCount()-before, qt.Equals, 2)
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	s := newSender()
+	for range 2 + 4 {
+		b.agent.Call(b.call(), s)
+	}
+	b.await(c)
+	b.await(c)
+	call := b.call()
+	b.agent.Call(call, s)
+	end, _ := s.end(c, call.ID)
+	c.Assert(end.Reason, qt.Equals, sequoialead.ReasonFull)
+}
+
+// Waiting calls are refused as never started when their failure domain goes
+// out, and running ones go on.
+func TestDomainOutRefusesWaiting(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	s := newSender()
+	for range 2 {
+		b.agent.Call(b.call(), s)
+		b.await(c)
+	}
+	waiting := b.call()
+	b.agent.Call(waiting, s)
+	b.conf.set(func(f *config.Config) { f.Out = map[string]bool{"d": true} })
+	end, _ := s.end(c, waiting.ID)
+	c.Assert(end.Reason, qt.Equals, sequoialead.ReasonDomain)
+	c.Assert(b.agent.Load().Running, qt.Equals, 2)
+}
--- a/fake/log/log.go
+++ b/fake/log/log.go
@@ -44,6 +44,8 @@
 type Fault struct {
 	// Down answers everything with an error and takes no effect.
 	Down bool `json:"down"`
+	// Mute answers reads with an error; appends take effect.
+	Mute bool `json:"mute"`
 	// Lose drops the answers of that many appends after they took effect.
 	Lose int `json:"lose"`
 	// Delay holds up every answer.
@@ -120,10 +122,11 @@
 	case <-r.Context().Done():
 		return false
 	}
-	if f.Down {
+	failing := f.Down || f.Mute && r.Method == http.MethodGet
+	if failing {
 		http.Error(w, "the log is down", http.StatusServiceUnavailable)
 	}
-	return !f.Down
+	return !failing
 }
 
 func (s *Server) append(w http.ResponseWriter, r *http.Request) {
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -13,8 +13,12 @@
 	writeTimeout = 10 * time.Second
 )
 
-// token is the data of a token event.
-type token struct {
+// EventToken is the name of the events that carry text. Any other event is the
+// last one, named after the outcome.
+const EventToken = "token"
+
+// Token is the data of a token event.
+type Token struct {
 	Text string `json:"text"`
 }
 
@@ -44,7 +48,7 @@
 	if !s.begun {
 		s.begin()
 	}
-	return s.event("token", token{Text: text})
+	return s.event(EventToken, Token{Text: text})
 }
 
 func (s *stream) event(name string, value any) error {
--- a/testscripts/calls_test.go
+++ b/testscripts/calls_test.go
@@ -1,14 +1,11 @@
 package testscripts
 
 import (
-	"bufio"
-	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
@@ -17,6 +14,7 @@
 	"sequoialead"
 	fakeengine "sequoialead/fake/engine"
 	"sequoialead/io/caller"
+	"sequoialead/io/front"
 )
 
 const callTimeout = 30 * time.Second
@@ -93,7 +91,7 @@
 		g.calls = append(g.calls, c)
 	}
 	f.mu.Unlock()
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: o.at}}
+	client := front.New()
 	work := make(chan int, o.n)
 	for i := range o.n {
 		work <- i
@@ -112,63 +110,24 @@
 	return g
 }
 
-func (c *call) run(client *http.Client, entry netip.AddrPort) {
-	body := caller.Body{Text: c.id, Stream: c.stream, Deadline: c.deadline}
-	body.Body, _ = json.Marshal(map[string]string{"id": c.id})
-	raw, _ := json.Marshal(body)
-	request, err := http.NewRequest(http.MethodPost, "http://"+entry.String()+"/v1/pipelines/"+c.pipeline, bytes.NewReader(raw))
-	if err != nil {
-		c.outcome, c.detail = outcomeCut, err.Error()
-		return
-	}
-	request.Header.Set("Authorization", "Bearer "+customerKey)
-	if c.key != "" {
-		request.Header.Set(caller.HeaderKey, c.key)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		c.outcome, c.detail = outcomeCut, err.Error()
-		return
-	}
-	defer func() { _ = response.Body.Close() }()
-	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		err = c.events(response.Body)
-	} else {
-		err = json.NewDecoder(response.Body).Decode(&c.answer)
-	}
+func (c *call) run(client *front.Front, entry netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	request := front.Request{
+		Pipeline: c.pipeline,
+		Key:      customerKey,
+		Once:     c.key,
+		Body:     caller.Body{Text: c.id, Stream: c.stream, Deadline: c.deadline},
+	}
+	request.Body.Body, _ = json.Marshal(map[string]string{"id": c.id})
+	result, err := client.Send(ctx, entry, request)
+	c.answer = result.Answer
 	c.outcome = string(c.answer.Outcome)
 	if err != nil {
 		c.outcome, c.detail = outcomeCut, err.Error()
 	}
 }
 
-// events reads a streamed answer.
-func (c *call) events(body io.Reader) error {
-	var text strings.Builder
-	scanner := bufio.NewScanner(body)
-	name := ""
-	for scanner.Scan() {
-		if event, ok := strings.CutPrefix(scanner.Text(), "event: "); ok {
-			name = event
-		}
-		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if name != "token" {
-			err := json.Unmarshal([]byte(data), &c.answer)
-			c.answer.Text = text.String()
-			return err
-		}
-		var token struct{ Text string }
-		if err := json.Unmarshal([]byte(data), &token); err != nil {
-			return err
-		}
-		text.WriteString(token.Text)
-	}
-	return io.ErrUnexpectedEOF
-}
-
 // wrong returns what is wrong with an answer, given the runs that the backend
 // servers recorded.
 func (c *call) wrong(runs map[string]int) string {
--- a/testscripts/vocabulary_test.go
+++ b/testscripts/vocabulary_test.go
@@ -137,7 +137,7 @@
 	return ts.Exec("sequoialead", "patch", "--base", "0", "--wait", "--file", ts.MkAbs("configuration.ini"), "customer.c.key="+digest(customerKey))
 }
 
-// cmdLog sets the log's faults: up, down, lose N, keep N.
+// cmdLog sets the log's faults: up, down, mute, lose N, keep N.
 func cmdLog(_ *testscript.TestScript, f *fleet, args []string) error {
 	var fault fakelog.Fault
 	n := 0
@@ -151,6 +151,8 @@
 	case "up":
 	case "down":
 		fault.Down = true
+	case "mute":
+		fault.Mute = true
 	case "lose":
 		fault.Lose = n
 	case "keep":
