--- a/core/mix/mix.go
+++ b/core/mix/mix.go
@@ -122,9 +122,10 @@
 	}
 }
 
-func (p *parser) time(key string, fallback time.Duration) time.Duration {
+// time reads a time, which is zero if the key is missing.
+func (p *parser) time(key string) time.Duration {
 	if !p.section.HasKey(key) {
-		return fallback
+		return 0
 	}
 	d, err := p.section.Key(key).Duration()
 	if err != nil || d < 0 {
@@ -157,11 +158,11 @@
 
 func (p *parser) load(m *Mix) {
 	m.Rate = p.number("rate", 0)
-	m.Time = p.time("time", 0)
+	m.Time = p.time("time")
 	m.Seed = uint64(p.number("seed", 1))
 	m.Burst = p.number("burst", 1)
-	m.BurstTime = p.time("burst-time", 0)
-	m.BurstPeriod = p.time("burst-period", 0)
+	m.BurstTime = p.time("burst-time")
+	m.BurstPeriod = p.time("burst-period")
 }
 
 func (p *parser) kind(name string) Kind {
@@ -170,13 +171,13 @@
 		Pipeline: p.section.Key("pipeline").String(),
 		Customer: p.section.Key("customer").String(),
 		Weight:   p.number("weight", 1),
-		From:     p.time("from", 0),
-		Until:    p.time("until", 0),
+		From:     p.time("from"),
+		Until:    p.time("until"),
 		Bytes:    int(p.number("bytes", 64)),
 		Prefix:   int(p.number("prefix", 0)),
 		Prefixes: int(p.number("prefixes", 1)),
 		Stream:   p.flag("stream"),
-		Deadline: p.time("deadline", 0),
+		Deadline: p.time("deadline"),
 		Keyed:    p.flag("keyed"),
 	}
 	k.Key = p.section.Key("key").MustString(k.Customer + "-key")
@@ -187,7 +188,7 @@
 }
 
 func (p *parser) action() Action {
-	a := Action{At: p.time("at", 0), Words: strings.Fields(p.section.Key("do").String())}
+	a := Action{At: p.time("at"), Words: strings.Fields(p.section.Key("do").String())}
 	if len(a.Words) < 2 {
 		p.fault("do", "has no verb with arguments; write for example drain domain nz-1")
 		return a
