subset: Rank entries without the library's ring, and test the policies

Cause: the rendezvous library's Remove panics once the removed node was not the last (found by TestCoverIsEven), so an entry of a large fleet would have died on its first list; and the subset was chosen anew every second.

--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,51 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sequoialead/core/admit"
+)
+
+func TestWait(t *testing.T) {
+	tests := []struct {
+		desc         string
+		heavy, light int
+		fair         bool
+		wantHeavy    time.Duration
+		wantLight    time.Duration
+	}{
+		{"room left", 5, 2, true, 0, 0},
+		{"full, for all", 20, 0, false, 1100 * time.Millisecond, 1100 * time.Millisecond},
+		{"full, fair", 20, 0, true, 1100 * time.Millisecond, 0},
+		{"full, both within their share", 5, 5, true, 200 * time.Millisecond, 200 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := qt.New(t)
+			b := admit.New()
+			for range tt.heavy {
+				b.Add("p", "heavy", 1)
+			}
+			for range tt.light {
+				b.Add("p", "light", 1)
+			}
+			c.Assert(b.Wait("p", "heavy", 1, 10, time.Second, tt.fair), qt.Equals, tt.wantHeavy)
+			c.Assert(b.Wait("p", "light", 1, 10, time.Second, tt.fair), qt.Equals, tt.wantLight)
+		})
+	}
+}
+
+func TestDoneEmptiesTheBook(t *testing.T) {
+	c := qt.New(t)
+	b := admit.New()
+	b.Add("p", "a", 1)
+	b.Add("p", "b", 1)
+	b.Done("p", "a")
+	b.Done("p", "a")
+	c.Assert(b.Committed("p"), qt.Equals, 1)
+	b.Done("p", "b")
+	c.Assert(b.Committed("p"), qt.Equals, 0)
+}
--- a/core/agent/run.go
+++ b/core/agent/run.go
@@ -102,6 +102,9 @@
 	return nil
 }
 
+// Flush does nothing: deliveries are woken by each chunk.
+func (r *reply) Flush() error { return nil }
+
 func (a *Agent) finish(j *job, ticket *limit.Ticket, began time.Time, end sequoialead.End, err error) {
 	now := time.Now()
 	service := now.Sub(began)
--- /dev/null
+++ b/core/config/config_test.go
@@ -0,0 +1,74 @@
+package config_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sequoialead/core/config"
+	"sequoialead/core/document"
+)
+
+func decode(c *qt.C, text string) (*config.Config, error) {
+	doc, err := document.Parse("test", []byte(text))
+	c.Assert(err, qt.IsNil)
+	return config.Decode(doc)
+}
+
+func TestFaultsNameTheRemedy(t *testing.T) {
+	tests := []struct {
+		desc, text, want string
+	}{
+		{"section", "[colour.red]\na = 1", `(?s).*\[colour.red\] section: is not known; use policy.*`},
+		{"key", "[domain.a]\nstat = out", `(?s).*\[domain.a\] stat: is not known; use one of state.*`},
+		{"number", "[pool.p]\nfull = many", `(?s).*full: "many" is not a whole number from 1.*`},
+		{"order", "[pool.p]\nfull = 2\ncold = 3", `(?s).*cold: 3 is above full, which is 2; lower it.*`},
+		{"pool", "[stage.s]\npool = p\nop = embed", `(?s).*"p" is no pool; add a section \[pool.p\].*`},
+		{"op", "[pool.p]\nfull = 2\n[stage.s]\npool = p\nop = sing", `(?s).*op: "sing" is not known; use embed.*`},
+		{"path", "[pool.p]\nfull = 2\n[stage.s]\npool = p\nop = invoke", `(?s).*path: "" does not start with a slash.*`},
+		{"stage", "[pipeline.x]\ndeadline = 5s\nstages = s", `(?s).*"s" is no stage; add a section \[stage.s\].*`},
+		{"deadline", "[pipeline.x]\ndeadline = 5\nstages = s", `(?s).*deadline: "5" is not a time.*`},
+		{"customer", "[customer.c]\nkey = abc", `(?s).*is not a SHA-256.*'sequoialead key'.*`},
+		{"state", "[backend.b]\nstate = out", `(?s).*"out" is not known; use in or drained.*`},
+		{"flag", "[policy]\nearly = maybe", `(?s).*"maybe" is neither yes nor no.*`},
+		{"router", "[policy]\nrouter = best", `(?s).*"best" is not known; use two, round or affinity.*`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := decode(c, tt.text)
+			c.Assert(err, qt.ErrorMatches, tt.want)
+		})
+	}
+}
+
+func TestAllFaultsAreTold(t *testing.T) {
+	c := qt.New(t)
+	_, err := decode(c, "[pool.p]\nfull = 0\n[policy]\nearly = maybe")
+	c.Assert(err, qt.ErrorMatches, `(?s).*full.*early.*`)
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"whiskerlane", "malabar"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			raw, err := os.ReadFile("../../examples/" + name + "/configuration.ini")
+			c.Assert(err, qt.IsNil)
+			conf, err := decode(c, string(raw))
+			c.Assert(err, qt.IsNil)
+			c.Assert(conf.Customers, qt.HasLen, 5)
+			for _, p := range conf.Pipelines {
+				c.Assert(p.Deadline > 0 && p.Deadline <= 5*time.Second, qt.IsTrue)
+			}
+		})
+	}
+}
+
+func TestServicesAreNotIdempotentUnlessSaid(t *testing.T) {
+	c := qt.New(t)
+	conf, err := decode(c, "[pool.p]\nfull = 2\n[stage.s]\npool = p\nop = invoke\npath = /s\n[pipeline.x]\ndeadline = 1s\nstages = s")
+	c.Assert(err, qt.IsNil)
+	c.Assert(conf.Pipelines["x"].Idempotent(), qt.IsFalse)
+}
--- a/core/entry/collect.go
+++ b/core/entry/collect.go
@@ -30,6 +30,14 @@
 	return c.task.run.sink.Token(string(data))
 }
 
+// Flush passes on that no more text is at hand.
+func (c *collector) Flush() error {
+	if c.task.run.sink == nil || c.task.stage.Op != sequoialead.OpGenerate {
+		return nil
+	}
+	return c.task.run.sink.Flush()
+}
+
 // finish takes the whole answer of a stage that does not stream.
 func (c *collector) finish(end sequoialead.End) error {
 	if c.task.stage.Op == sequoialead.OpGenerate {
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -165,6 +165,31 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	for _, p := range e.pools {
+		e.forget(p)
 		e.pump(p, now)
 	}
 }
+
+// forgetFactor is how many times more agents may be known than are present
+// before those that are gone are forgotten.
+const forgetFactor = 2
+
+// forget drops what is known of agents that are gone. The caller holds mu.
+func (e *Entry) forget(p *pool) {
+	peers := e.opts.Members.Peers(p.name)
+	if len(p.read) <= forgetFactor*len(peers) {
+		return
+	}
+	present := map[string]bool{}
+	for _, peer := range peers {
+		hello, _ := peer.Hello()
+		present[hello.Name] = true
+	}
+	for name := range p.read {
+		if !present[name] {
+			delete(p.read, name)
+			delete(p.since, name)
+		}
+	}
+	p.ejector.Forget(present)
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -49,6 +49,11 @@
 	// members are found by address: an instance that is replaced under its old
 	// name is another member.
 	members map[string]*member
+	// pools holds the peers of members by pool. Its slices are never changed.
+	pools map[string][]sequoialead.Peer
+	// listed is the list as last read; chosen and entries are made from it.
+	listed  []sequoialead.Instance
+	chosen  []sequoialead.Instance
 	entries []sequoialead.Instance
 	// read is when the list was last read.
 	read time.Time
@@ -86,17 +91,11 @@
 	return err
 }
 
-// Peers returns the agents of a pool.
+// Peers returns the agents of a pool. The caller must not change the slice.
 func (f *Fleet) Peers(pool string) []sequoialead.Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var peers []sequoialead.Peer
-	for _, m := range f.members {
-		if m.instance.Pool == pool {
-			peers = append(peers, m.peer)
-		}
-	}
-	return peers
+	return f.pools[pool]
 }
 
 // All returns the agents with what the list says of them.
@@ -162,14 +161,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.read = now
-	f.entries = nil
-	for _, i := range instances {
-		if i.Role == sequoialead.RoleEntry {
-			f.entries = append(f.entries, i)
-		}
-	}
+	f.choose(instances)
 	wanted := map[string]bool{}
-	for _, i := range subset.Select(f.opts.Subset, instances) {
+	for _, i := range f.chosen {
 		key := i.Addr.String()
 		wanted[key] = true
 		m := f.members[key]
@@ -181,7 +175,27 @@
 		m.missing = time.Time{}
 		m.peer.SetLeaving(i.Leaving)
 	}
-	return f.prune(wanted, now)
+	gone := f.prune(wanted, now)
+	f.pools = map[string][]sequoialead.Peer{}
+	for _, m := range f.members {
+		f.pools[m.instance.Pool] = append(f.pools[m.instance.Pool], m.peer)
+	}
+	return gone
+}
+
+// choose selects the subset anew if the list has changed.
+func (f *Fleet) choose(instances []sequoialead.Instance) {
+	if slices.Equal(instances, f.listed) {
+		return
+	}
+	f.listed = instances
+	f.chosen = subset.Select(f.opts.Subset, instances)
+	f.entries = nil
+	for _, i := range instances {
+		if i.Role == sequoialead.RoleEntry {
+			f.entries = append(f.entries, i)
+		}
+	}
 }
 
 func (f *Fleet) prune(wanted map[string]bool, now time.Time) []sequoialead.Peer {
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 	RetryMost      = 2 * time.Second
 	SnapshotEvery  = 256
 	SnapshotPeriod = 10 * time.Minute
+	// slackShare is the part of SnapshotEvery over which processes spread.
+	slackShare = 4
 )
 
 // Options configures a follower.
@@ -62,6 +65,9 @@
 	moved chan struct{}
 	// snapped is when a snapshot was last seen or written.
 	snapped time.Time
+	// slack is how many records more than due this process waits with a
+	// snapshot, so that not all write one at once.
+	slack uint64
 	// caught is when the log was last read to its end; zero before the first.
 	caught time.Time
 }
@@ -78,7 +84,13 @@
 	if opts.SnapshotPeriod == 0 {
 		opts.SnapshotPeriod = SnapshotPeriod
 	}
-	w := &Follower{opts: opts, fold: f, moved: make(chan struct{}), snapped: time.Now()}
+	w := &Follower{
+		opts:    opts,
+		fold:    f,
+		moved:   make(chan struct{}),
+		snapped: time.Now(),
+		slack:   rand.Uint64N(opts.SnapshotEvery/slackShare + 1),
+	}
 	w.publish()
 	return w, nil
 }
@@ -251,7 +263,7 @@
 func (w *Follower) snapshot(ctx context.Context) error {
 	w.mu.Lock()
 	records := w.fold.Next() - w.fold.Covered()
-	due := records >= w.opts.SnapshotEvery || time.Since(w.snapped) > w.opts.SnapshotPeriod
+	due := records >= w.opts.SnapshotEvery+w.slack || time.Since(w.snapped) > w.opts.SnapshotPeriod
 	if !due || w.fold.Version() == 0 {
 		w.mu.Unlock()
 		return nil
--- /dev/null
+++ b/core/shares/shares_test.go
@@ -0,0 +1,68 @@
+package shares_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"sequoialead/core/shares"
+)
+
+func TestWeightsRuleWhileAllWait(t *testing.T) {
+	c := qt.New(t)
+	q := shares.New()
+	for range 100 {
+		q.Push("light", 1, false, "light")
+		q.Push("heavy", 3, false, "heavy")
+	}
+	served := map[string]int{}
+	for range 80 {
+		served[q.Pop().Value.(string)]++
+	}
+	c.Assert(served, qt.DeepEquals, map[string]int{"light": 20, "heavy": 60})
+}
+
+func TestLaterStagesGoFirst(t *testing.T) {
+	c := qt.New(t)
+	q := shares.New()
+	q.Push("a", 1, false, "first")
+	q.Push("b", 1, true, "later")
+	c.Assert(q.Pop().Value, qt.Equals, "later")
+}
+
+// A customer that was idle gets no credit for it, and nobody is passed over
+// for good.
+func TestNobodyStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := shares.New()
+		heavy := rapid.IntRange(1, 100).Draw(t, "heavy")
+		share := rapid.IntRange(1, 10).Draw(t, "share")
+		for range heavy {
+			q.Push("heavy", share, false, "heavy")
+		}
+		for range rapid.IntRange(0, heavy).Draw(t, "served") {
+			q.Pop()
+		}
+		q.Push("light", 1, false, "light")
+		for n := 0; ; n++ {
+			if q.Pop().Value == "light" {
+				if n > share+1 {
+					t.Fatalf("light waited for %d of heavy with share %d", n, share)
+				}
+				return
+			}
+		}
+	})
+}
+
+func TestRemove(t *testing.T) {
+	c := qt.New(t)
+	q := shares.New()
+	a := q.Push("a", 1, false, "a")
+	q.Push("b", 1, false, "b")
+	q.Remove(a)
+	q.Remove(a)
+	c.Assert(q.Pop().Value, qt.Equals, "b")
+	c.Assert(q.Pop(), qt.IsNil)
+}
--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -7,7 +7,6 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-	rendezvous "github.com/dgryski/go-rendezvous"
 
 	"sequoialead"
 )
@@ -58,29 +57,39 @@
 // covers, and at least one.
 func covered(opts Options, entries []string, group []sequoialead.Instance) []sequoialead.Instance {
 	var chosen []sequoialead.Instance
-	for _, agent := range group {
-		ring := rendezvous.New(slices.Clone(entries), xxhash.Sum64String)
-		for range opts.Cover {
-			name := ring.Lookup(agent.Name)
-			if name == opts.Entry {
-				chosen = append(chosen, agent)
-				break
-			}
-			ring.Remove(name)
+	best, bestScore := 0, uint64(0)
+	for i, agent := range group {
+		own := score(opts.Entry, agent.Name)
+		if own >= bestScore {
+			best, bestScore = i, own
 		}
-	}
-	if len(chosen) > 0 {
-		return chosen
-	}
-	names := make([]string, 0, len(group))
-	for _, agent := range group {
-		names = append(names, agent.Name)
-	}
-	fallback := rendezvous.New(names, xxhash.Sum64String).Lookup(opts.Entry)
-	for _, agent := range group {
-		if agent.Name == fallback {
+		if rank(own, entries, agent.Name) < opts.Cover {
 			chosen = append(chosen, agent)
 		}
 	}
+	if len(chosen) == 0 {
+		chosen = append(chosen, group[best])
+	}
 	return chosen
 }
+
+// score is the weight of a pair in the rendezvous hash.
+func score(entry, agent string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(entry) // never fails
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(agent)
+	return d.Sum64()
+}
+
+// rank returns how many entries have a higher score with an agent.
+func rank(own uint64, entries []string, agent string) int {
+	higher := 0
+	for _, entry := range entries {
+		if score(entry, agent) > own {
+			higher++
+		}
+	}
+	return higher
+}
--- /dev/null
+++ b/core/subset/subset_test.go
@@ -0,0 +1,84 @@
+package subset_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sequoialead"
+	"sequoialead/core/subset"
+)
+
+// list makes an instance list with agents spread over failure domains.
+func list(entries, agents, domains int) []sequoialead.Instance {
+	var all []sequoialead.Instance
+	for i := range entries {
+		all = append(all, sequoialead.Instance{Name: fmt.Sprint("e", i), Role: sequoialead.RoleEntry})
+	}
+	for i := range agents {
+		all = append(all, sequoialead.Instance{Name: fmt.Sprint("a", i), Role: sequoialead.RoleAgent, Pool: "p", Domain: fmt.Sprint("d", i%domains)})
+	}
+	return all
+}
+
+func TestSmallPoolsAreTakenWhole(t *testing.T) {
+	c := qt.New(t)
+	got := subset.Select(subset.Options{Entry: "e0", Least: 32, Cover: 8}, list(4, 30, 4))
+	c.Assert(got, qt.HasLen, 30)
+}
+
+// Every agent has the entries that it should, and every entry reaches each
+// failure domain.
+func TestCoverIsEven(t *testing.T) {
+	c := qt.New(t)
+	const entries, agents, domains, cover = 40, 700, 5, 4
+	all := list(entries, agents, domains)
+	covered := map[string]int{}
+	for i := range entries {
+		reached := map[string]bool{}
+		chosen := subset.Select(subset.Options{Entry: fmt.Sprint("e", i), Least: 32, Cover: cover}, all)
+		for _, a := range chosen {
+			covered[a.Name]++
+			reached[a.Domain] = true
+		}
+		c.Assert(reached, qt.HasLen, domains)
+		mean := agents * cover / entries
+		c.Assert(len(chosen) > mean/2 && len(chosen) < 2*mean, qt.IsTrue, qt.Commentf("%d agents", len(chosen)))
+	}
+	for _, n := range covered {
+		c.Assert(n >= cover, qt.IsTrue)
+	}
+	c.Assert(covered, qt.HasLen, agents)
+}
+
+// A lost entry moves only the agents that it covered.
+func TestLossMovesLittle(t *testing.T) {
+	c := qt.New(t)
+	opts := subset.Options{Entry: "e0", Least: 32, Cover: 4}
+	all := list(40, 700, 5)
+	before := map[string]bool{}
+	for _, a := range subset.Select(opts, all) {
+		before[a.Name] = true
+	}
+	after := subset.Select(opts, append(all[:39:39], all[40:]...))
+	kept := 0
+	for _, a := range after {
+		if before[a.Name] {
+			kept++
+		}
+	}
+	c.Assert(kept, qt.Equals, len(before))
+	c.Assert(len(after)-kept < 20, qt.IsTrue)
+}
+
+func BenchmarkSelect(b *testing.B) {
+	for _, agents := range []int{400, 1600, 3200, 6100} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			all := list(340, agents, 17)
+			for b.Loop() {
+				subset.Select(subset.Options{Entry: "e0", Least: 32, Cover: 8}, all)
+			}
+		})
+	}
+}
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -195,6 +195,11 @@
 		}
 		c.owed += len(d)
 	}
+	if len(data) > 0 {
+		if err := c.reply.Flush(); err != nil {
+			return err
+		}
+	}
 	if c.owed < creditQuantum {
 		return nil
 	}
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -51,17 +51,21 @@
 	return s.event(EventToken, Token{Text: text})
 }
 
+// event writes an event, which may stay in the connection's buffer.
 func (s *stream) event(name string, value any) error {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return err
 	}
+	_, err = fmt.Fprintf(s.w, "event: %s\ndata: %s\n\n", name, raw)
+	return err
+}
+
+// Flush sends the events in the connection's buffer.
+func (s *stream) Flush() error {
 	if err := s.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(s.w, "event: %s\ndata: %s\n\n", name, raw); err != nil {
-		return err
-	}
 	return s.control.Flush()
 }
 
@@ -75,6 +79,8 @@
 		s.begin()
 	}
 	answer := wire(a)
-	answer.Text = ""                       // sent in token events
-	_ = s.event(string(a.Outcome), answer) // client gone
+	answer.Text = "" // sent in token events
+	if s.event(string(a.Outcome), answer) == nil {
+		_ = s.Flush() // client gone
+	}
 }
--- a/peer.go
+++ b/peer.go
@@ -76,6 +76,9 @@
 
 // Sink receives a streamed answer.
 type Sink interface {
-	// Token is called for each piece of text in order.
+	// Token is called for each piece of text in order. The text may be held
+	// back until Flush.
 	Token(text string) error
+	// Flush sends what was held back.
+	Flush() error
 }
--- a/sequoialead.go
+++ b/sequoialead.go
@@ -130,6 +130,8 @@
 type Reply interface {
 	// Chunk is called for each piece in order. The data is owned by the receiver.
 	Chunk(data []byte) error
+	// Flush is called once no more pieces are at hand.
+	Flush() error
 }
 
 // Backend speaks to one backend server.
--- a/testscripts/fleet_test.go
+++ b/testscripts/fleet_test.go
@@ -304,6 +304,11 @@
 	return nil
 }
 
+// command runs the binary once and returns what it printed.
+func (f *fleet) command(args ...string) ([]byte, error) {
+	return exec.Command(f.binary, args...).CombinedOutput()
+}
+
 // end sends a process a signal and waits until it is gone.
 func (f *fleet) end(name string, signal syscall.Signal) error {
 	p := f.procs[name]
--- a/testscripts/main_test.go
+++ b/testscripts/main_test.go
@@ -36,27 +36,31 @@
 const fleetsAtOnce = 4
 
 func TestScenarios(t *testing.T) {
-	given := &ports{}
-	slots := make(chan struct{}, fleetsAtOnce)
 	testscript.Run(t, testscript.Params{
-		Dir:  "scenarios",
-		Cmds: fleetCommands(),
-		Setup: func(env *testscript.Env) error {
-			if err := defaults(env.WorkDir); err != nil {
-				return err
-			}
-			f := &fleet{ports: given}
-			env.Values[fleetKey{}] = f
-			slots <- struct{}{}
-			env.Defer(func() {
-				f.close()
-				<-slots
-			})
-			return nil
-		},
+		Dir:   "scenarios",
+		Cmds:  fleetCommands(),
+		Setup: setup(&ports{}, make(chan struct{}, fleetsAtOnce)),
 	})
 }
 
+// setup gives each script a fleet of its own, with a bound on those that run
+// at the same time.
+func setup(given *ports, slots chan struct{}) func(*testscript.Env) error {
+	return func(env *testscript.Env) error {
+		if err := defaults(env.WorkDir); err != nil {
+			return err
+		}
+		f := &fleet{ports: given}
+		env.Values[fleetKey{}] = f
+		slots <- struct{}{}
+		env.Defer(func() {
+			f.close()
+			<-slots
+		})
+		return nil
+	}
+}
+
 // defaults adds the files that a scenario does not bring itself.
 func defaults(dir string) error {
 	for _, name := range []string{"fleet.ini", "configuration.ini"} {
