commands: Share the shape of queries, and split what had grown large

Cause: reading as a newcomer: show, status and audit stood three times; two parsers of INI sections were twins; the agent's server repeated io/web; test files of 440 lines; packages did not say what else they export. Change: query, common/section, io/entry mounted on io/web, build.go parted in three, test files parted, package comments name the companions. A test that waited without end where its mechanism was off now has a bound.

--- a/commands/build.go
+++ b/commands/build.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"sort"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -41,6 +39,7 @@
 	nameFleet  = "fleet"
 	nameEntry  = "entry"
 	nameAgent  = "agent"
+	nameLinks  = "links"
 	nameWeb    = "web"
 )
 
@@ -163,93 +162,6 @@
 	return nil
 }
 
-func gaugeEntry(set *metrics.Set, entry *coreentry.Entry, follower *follow.Follower) {
-	tally := entry.Tally()
-	for outcome, n := range tally.Outcomes {
-		set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_requests_total{outcome=%q}`, outcome)).Set(n)
-	}
-	for reason, n := range tally.Reasons {
-		set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_reasons_total{reason=%q}`, reason)).Set(n)
-	}
-	set.GetOrCreateCounter("sequoialead_retries_total").Set(tally.Retries)
-	set.GetOrCreateCounter("sequoialead_configuration_version").Set(uint64(follower.Version()))
-	set.GetOrCreateCounter("sequoialead_requests_open").Set(uint64(entry.Open()))
-	set.GetOrCreateCounter("sequoialead_stages_waiting").Set(uint64(entry.Waiting()))
-	for key, c := range tally.Costs {
-		label := fmt.Sprintf(`{pipeline=%q,stage=%q,customer=%q}`, key.Pipeline, key.Stage, key.Customer)
-		set.GetOrCreateCounter("sequoialead_stage_calls_total" + label).Set(c.Calls)
-		set.GetOrCreateCounter("sequoialead_stage_tokens_total" + label).Set(c.Tokens)
-		set.GetOrCreateCounter("sequoialead_stage_wasted_tokens_total" + label).Set(c.WastedTokens)
-		set.GetOrCreateFloatCounter("sequoialead_stage_service_seconds_total" + label).Set(c.Service.Seconds())
-		set.GetOrCreateFloatCounter("sequoialead_stage_wasted_seconds_total" + label).Set(c.WastedService.Seconds())
-	}
-}
-
-func gaugeLinks(set *metrics.Set, members *fleet.Fleet) {
-	var received, sent uint64
-	all := members.All()
-	for _, peer := range all {
-		r, s := peer.Bytes()
-		received += r
-		sent += s
-	}
-	set.GetOrCreateCounter("sequoialead_link_received_bytes_total").Set(received)
-	set.GetOrCreateCounter("sequoialead_link_sent_bytes_total").Set(sent)
-	set.GetOrCreateCounter("sequoialead_agents").Set(uint64(len(all)))
-}
-
-func entryStatus(s entrySettings, entry *coreentry.Entry, follower *follow.Follower, members *fleet.Fleet) operator.StatusAnswer {
-	tally := entry.Tally()
-	conf, version := follower.Current()
-	answer := operator.StatusAnswer{
-		Name:     s.name,
-		Domain:   s.domain,
-		Version:  version,
-		LogRead:  follower.Caught(),
-		ListRead: members.Read(),
-		Open:     entry.Open(),
-		Outcomes: tally.Outcomes,
-		Entries:  []operator.Entry{},
-	}
-	for domain := range conf.Out {
-		answer.Out = append(answer.Out, domain)
-	}
-	sort.Strings(answer.Out)
-	for instance, peer := range members.All() {
-		c, usable := peer.Candidate()
-		_, connected := peer.Hello()
-		answer.Agents = append(answer.Agents, operator.Agent{
-			Name:      instance.Name,
-			Pool:      instance.Pool,
-			Domain:    instance.Domain,
-			Addr:      instance.Addr,
-			Connected: connected,
-			Leaving:   connected && !usable,
-			Limit:     c.Load.Limit,
-			Running:   c.Load.Running,
-			Waiting:   c.Load.Waiting,
-			Version:   c.Load.Version,
-		})
-	}
-	sort.Slice(answer.Agents, func(i, j int) bool { return answer.Agents[i].Name < answer.Agents[j].Name })
-	for _, i := range members.Entries() {
-		answer.Entries = append(answer.Entries, operator.Entry{Name: i.Name, Addr: i.Addr})
-	}
-	for key, c := range tally.Costs {
-		answer.Costs = append(answer.Costs, operator.Cost{
-			Pipeline:      key.Pipeline,
-			Stage:         key.Stage,
-			Customer:      key.Customer,
-			Calls:         c.Calls,
-			Service:       c.Service,
-			Tokens:        c.Tokens,
-			WastedService: c.WastedService,
-			WastedTokens:  c.WastedTokens,
-		})
-	}
-	return answer
-}
-
 // buildAgent adds an agent's services to a kernel.
 func buildAgent(k *kernel.Kernel, s agentSettings) error {
 	sealer, err := seal.New(s.fleet)
@@ -273,42 +185,21 @@
 	if err != nil {
 		return err
 	}
+	links := ioentry.New(ioentry.Options{Agent: agent, Relayer: follower, Sealer: sealer})
 	set := metrics.NewSet()
-	show := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	mux := goji.NewMux()
+	links.Mount(mux)
+	mux.HandleFunc(pat.Get("/metrics"), func(w http.ResponseWriter, _ *http.Request) {
 		gaugeAgent(set, agent)
 		set.WritePrometheus(w)
 	})
 	k.Add(nameFollow, follower)
 	k.Add(nameAgent, agent)
-	k.Add(nameWeb, ioentry.New(ioentry.Options{
-		Addr:    s.addr,
-		Agent:   agent,
-		Relayer: follower,
-		Sealer:  sealer,
-		Extra:   map[string]http.Handler{"/metrics": show},
-	}))
+	k.Add(nameLinks, links)
+	k.Add(nameWeb, web.New(web.Options{Addr: s.addr, Handler: mux}))
 	return nil
 }
 
-func gaugeAgent(set *metrics.Set, agent *coreagent.Agent) {
-	load, stats := agent.Load(), agent.Stats()
-	for name, n := range map[string]uint64{
-		"sequoialead_agent_limit":           uint64(load.Limit),
-		"sequoialead_agent_running":         uint64(load.Running),
-		"sequoialead_agent_waiting":         uint64(load.Waiting),
-		"sequoialead_configuration_version": uint64(load.Version),
-		"sequoialead_agent_started_total":   stats.Started,
-		"sequoialead_agent_refused_total":   stats.Refused,
-		"sequoialead_agent_attached_total":  stats.Attached,
-		"sequoialead_agent_done_total":      stats.Done,
-		"sequoialead_agent_failed_total":    stats.Failed,
-		"sequoialead_agent_lost_total":      stats.Lost,
-		"sequoialead_agent_new_lives_total": stats.Restarts,
-	} {
-		set.GetOrCreateCounter(name).Set(n)
-	}
-}
-
 // stopAgent lets an agent's calls end, within a time.
 func stopAgent(k *kernel.Kernel, grace time.Duration) error {
 	agent, err := kernel.Find[*coreagent.Agent](k, nameAgent)
--- /dev/null
+++ b/commands/metrics.go
@@ -0,0 +1,66 @@
+package commands
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	coreagent "sequoialead/core/agent"
+	coreentry "sequoialead/core/entry"
+	"sequoialead/core/fleet"
+	"sequoialead/core/follow"
+)
+
+func gaugeEntry(set *metrics.Set, entry *coreentry.Entry, follower *follow.Follower) {
+	tally := entry.Tally()
+	for outcome, n := range tally.Outcomes {
+		set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_requests_total{outcome=%q}`, outcome)).Set(n)
+	}
+	for reason, n := range tally.Reasons {
+		set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_reasons_total{reason=%q}`, reason)).Set(n)
+	}
+	set.GetOrCreateCounter("sequoialead_retries_total").Set(tally.Retries)
+	set.GetOrCreateCounter("sequoialead_configuration_version").Set(uint64(follower.Version()))
+	set.GetOrCreateCounter("sequoialead_requests_open").Set(uint64(entry.Open()))
+	set.GetOrCreateCounter("sequoialead_stages_waiting").Set(uint64(entry.Waiting()))
+	for key, c := range tally.Costs {
+		label := fmt.Sprintf(`{pipeline=%q,stage=%q,customer=%q}`, key.Pipeline, key.Stage, key.Customer)
+		set.GetOrCreateCounter("sequoialead_stage_calls_total" + label).Set(c.Calls)
+		set.GetOrCreateCounter("sequoialead_stage_tokens_total" + label).Set(c.Tokens)
+		set.GetOrCreateCounter("sequoialead_stage_wasted_tokens_total" + label).Set(c.WastedTokens)
+		set.GetOrCreateFloatCounter("sequoialead_stage_service_seconds_total" + label).Set(c.Service.Seconds())
+		set.GetOrCreateFloatCounter("sequoialead_stage_wasted_seconds_total" + label).Set(c.WastedService.Seconds())
+	}
+}
+
+func gaugeLinks(set *metrics.Set, members *fleet.Fleet) {
+	var received, sent uint64
+	all := members.All()
+	for _, peer := range all {
+		r, s := peer.Bytes()
+		received += r
+		sent += s
+	}
+	set.GetOrCreateCounter("sequoialead_link_received_bytes_total").Set(received)
+	set.GetOrCreateCounter("sequoialead_link_sent_bytes_total").Set(sent)
+	set.GetOrCreateCounter("sequoialead_agents").Set(uint64(len(all)))
+}
+
+func gaugeAgent(set *metrics.Set, agent *coreagent.Agent) {
+	load, stats := agent.Load(), agent.Stats()
+	for name, n := range map[string]uint64{
+		"sequoialead_agent_limit":           uint64(load.Limit),
+		"sequoialead_agent_running":         uint64(load.Running),
+		"sequoialead_agent_waiting":         uint64(load.Waiting),
+		"sequoialead_configuration_version": uint64(load.Version),
+		"sequoialead_agent_started_total":   stats.Started,
+		"sequoialead_agent_refused_total":   stats.Refused,
+		"sequoialead_agent_attached_total":  stats.Attached,
+		"sequoialead_agent_done_total":      stats.Done,
+		"sequoialead_agent_failed_total":    stats.Failed,
+		"sequoialead_agent_lost_total":      stats.Lost,
+		"sequoialead_agent_new_lives_total": stats.Restarts,
+	} {
+		set.GetOrCreateCounter(name).Set(n)
+	}
+}
--- /dev/null
+++ b/commands/report.go
@@ -0,0 +1,62 @@
+package commands
+
+import (
+	"maps"
+	"slices"
+	"sort"
+
+	coreentry "sequoialead/core/entry"
+	"sequoialead/core/fleet"
+	"sequoialead/core/follow"
+	"sequoialead/io/operator"
+)
+
+// entryStatus returns what an entry knows.
+func entryStatus(s entrySettings, entry *coreentry.Entry, follower *follow.Follower, members *fleet.Fleet) operator.StatusAnswer {
+	tally := entry.Tally()
+	conf, version := follower.Current()
+	answer := operator.StatusAnswer{
+		Name:     s.name,
+		Domain:   s.domain,
+		Version:  version,
+		LogRead:  follower.Caught(),
+		ListRead: members.Read(),
+		Open:     entry.Open(),
+		Outcomes: tally.Outcomes,
+		Entries:  []operator.Entry{},
+		Out:      slices.Sorted(maps.Keys(conf.Out)),
+	}
+	for instance, peer := range members.All() {
+		c, usable := peer.Candidate()
+		_, connected := peer.Hello()
+		answer.Agents = append(answer.Agents, operator.Agent{
+			Name:      instance.Name,
+			Pool:      instance.Pool,
+			Domain:    instance.Domain,
+			Addr:      instance.Addr,
+			Connected: connected,
+			Leaving:   connected && !usable,
+			Limit:     c.Load.Limit,
+			Running:   c.Load.Running,
+			Waiting:   c.Load.Waiting,
+			Version:   c.Load.Version,
+		})
+	}
+	sort.Slice(answer.Agents, func(i, j int) bool { return answer.Agents[i].Name < answer.Agents[j].Name })
+	for _, i := range members.Entries() {
+		answer.Entries = append(answer.Entries, operator.Entry{Name: i.Name, Addr: i.Addr})
+	}
+	for key, c := range tally.Costs {
+		answer.Costs = append(answer.Costs, operator.Cost{
+			Pipeline:      key.Pipeline,
+			Stage:         key.Stage,
+			Customer:      key.Customer,
+			Calls:         c.Calls,
+			Service:       c.Service,
+			Tokens:        c.Tokens,
+			WastedService: c.WastedService,
+			WastedTokens:  c.WastedTokens,
+		})
+	}
+	return answer
+}
--- a/commands/status.go
+++ b/commands/status.go
@@ -9,35 +9,19 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"sequoialead/io/console"
 	"sequoialead/io/operator"
 )
 
 func newStatus(deps Deps) *ffcli.Command {
-	var c consoleFlags
-	flags := newFlags("sequoialead status", deps)
-	c.bind(flags)
-	return &ffcli.Command{
-		Name:       "status",
-		ShortUsage: "sequoialead status [FLAGS]",
-		ShortHelp:  "print what an entry knows of the system",
-		FlagSet:    flags,
-		Options:    c.options(),
-		Exec: func(ctx context.Context, _ []string) error {
-			client, err := c.open()
-			if err != nil {
-				return err
-			}
-			defer func() { _ = client.Close() }() // always nil
-			answer, err := client.Status(ctx)
-			if err != nil {
-				return err
-			}
-			if c.json {
-				return printJSON(deps.Stdout, answer)
-			}
-			return printStatus(deps, answer)
+	return query[operator.StatusAnswer]{
+		name: "status",
+		help: "print what an entry knows of the system",
+		ask: func(ctx context.Context, client *console.Console) (operator.StatusAnswer, error) {
+			return client.Status(ctx)
 		},
-	}
+		print: func(answer operator.StatusAnswer) error { return printStatus(deps, answer) },
+	}.command(deps)
 }
 
 func printStatus(deps Deps, s operator.StatusAnswer) error {
--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -1,5 +1,6 @@
 // Package agent takes the hard decisions beside one backend server: what it
-// may be given, when, and never twice.
+// may be given, when, and never twice. Besides the agent it exports its
+// options, what it counts, and the interfaces that it needs of others.
 package agent
 
 import (
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -333,9 +333,10 @@
 	}
 	b.await(c)
 	b.await(c)
-	for b.agent.Load().Limit != 2 {
+	for end := time.Now().Add(patience); b.agent.Load().Limit != 2 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
+	c.Assert(b.agent.Load().Limit, qt.Equals, 2)
 	c.Assert(b.backend.startedCount()-before, qt.Equals, 2)
 }
 
--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -1,5 +1,6 @@
 // Package calls keeps an agent's table of calls, so that a call that arrives
-// again attaches to the first and never runs twice.
+// again attaches to the first and never runs twice. Besides the table it
+// exports its bounds and what it holds.
 package calls
 
 import (
--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -1,6 +1,7 @@
 // Package claims lets a request with an idempotency key run at most once in
 // the whole fleet. A claim goes to a stream of the log first; the first claim
 // in the log's order wins, and who has not read back its own never sends.
+// Besides the claimer it exports its options.
 package claims
 
 import (
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -1,5 +1,6 @@
 // Package entry runs callers' requests: it admits them, sends each stage to an
-// agent, and says truthfully what became of them.
+// agent, and says truthfully what became of them. Besides the entry it exports
+// its options, what it counts, and the interfaces that it needs of others.
 package entry
 
 import (
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,5 +1,6 @@
 // Package fleet keeps an entry's connections to its subset of agents in step
-// with the platform's list of instances.
+// with the platform's list of instances. Besides the fleet it exports its
+// options.
 package fleet
 
 import (
--- a/core/fold/fold_test.go
+++ b/core/fold/fold_test.go
@@ -132,68 +132,94 @@
 	c.Assert(err, qt.ErrorMatches, ".*not held here.*")
 }
 
+// world is a log with processes that fold it.
+type world struct {
+	t     *rapid.T
+	log   []sequoialead.Record
+	folds []*fold.Fold
+	// raws are the patches offered so far.
+	raws    [][]byte
+	digests map[sequoialead.Version]sequoialead.Digest
+}
+
+func (w *world) post(raw []byte) { w.log = append(w.log, record(uint64(len(w.log)), raw)) }
+
+func (w *world) any(label string) *fold.Fold {
+	return w.folds[rapid.IntRange(0, len(w.folds)-1).Draw(w.t, label)]
+}
+
+// step lets one process do something.
+func (w *world) step(n int, f *fold.Fold) {
+	switch rapid.IntRange(0, 6).Draw(w.t, "step") {
+	case 0, 1:
+		raw := propose(w.t, f, byte(n), out(fmt.Sprint(n)))
+		w.raws = append(w.raws, raw)
+		w.post(raw)
+	case 2:
+		if len(w.raws) > 0 {
+			w.post(w.raws[rapid.IntRange(0, len(w.raws)-1).Draw(w.t, "again")])
+		}
+	case 3, 4:
+		if next := f.Next(); next < uint64(len(w.log)) {
+			f.Add(w.log[next])
+		}
+	case 5:
+		if r, ok := w.any("other").Relay(f.Version()); ok {
+			if _, err := f.Learn(r); err != nil {
+				w.t.Fatalf("learn: %v", err)
+			}
+		}
+	case 6:
+		w.snapshot(f)
+	}
+}
+
+// snapshot writes a snapshot and starts a process from it.
+func (w *world) snapshot(f *fold.Fold) {
+	raw, err := f.EncodeSnapshot()
+	if err != nil {
+		w.t.Fatalf("snapshot: %v", err)
+	}
+	s, _ := f.Snapshot(raw)
+	fresh := newFold(w.t, key)
+	if _, err := fresh.Restore(s, true); err != nil {
+		w.t.Fatalf("restore: %v", err)
+	}
+	w.folds = append(w.folds, fresh)
+	w.post(raw)
+}
+
+func (w *world) check() {
+	for _, f := range w.folds {
+		if d, ok := w.digests[f.Version()]; ok && d != f.Digest() {
+			w.t.Fatalf("two configurations of version %d", f.Version())
+		}
+		w.digests[f.Version()] = f.Digest()
+	}
+}
+
 // Lets operators race, and processes read the log, relay, start late from
 // snapshots and repeat in any order. All must agree on each version, and none
 // may go back.
 func TestAnyOrderAgrees(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var log []sequoialead.Record
-		folds := []*fold.Fold{newFold(t, key), newFold(t, key), newFold(t, key)}
-		digests := map[sequoialead.Version]sequoialead.Digest{}
-		var raws [][]byte
-		post := func(raw []byte) { log = append(log, record(uint64(len(log)), raw)) }
-		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			f := folds[rapid.IntRange(0, len(folds)-1).Draw(t, "fold")]
+		w := &world{t: t, digests: map[sequoialead.Version]sequoialead.Digest{}}
+		w.folds = []*fold.Fold{newFold(t, key), newFold(t, key), newFold(t, key)}
+		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			f := w.any("fold")
 			before := f.Version()
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
-			case 0, 1:
-				raw := propose(t, f, byte(step), out(fmt.Sprint(step)))
-				raws = append(raws, raw)
-				post(raw)
-			case 2:
-				if len(raws) > 0 {
-					post(raws[rapid.IntRange(0, len(raws)-1).Draw(t, "again")])
-				}
-			case 3, 4:
-				if next := f.Next(); next < uint64(len(log)) {
-					f.Add(log[next])
-				}
-			case 5:
-				other := folds[rapid.IntRange(0, len(folds)-1).Draw(t, "other")]
-				if r, ok := other.Relay(f.Version()); ok {
-					if _, err := f.Learn(r); err != nil {
-						t.Fatalf("learn: %v", err)
-					}
-				}
-			case 6:
-				raw, err := f.EncodeSnapshot()
-				if err != nil {
-					t.Fatalf("snapshot: %v", err)
-				}
-				s, _ := f.Snapshot(raw)
-				fresh := newFold(t, key)
-				if _, err := fresh.Restore(s, true); err != nil {
-					t.Fatalf("restore: %v", err)
-				}
-				folds = append(folds, fresh)
-				post(raw)
-			}
+			w.step(n, f)
 			if f.Version() < before {
 				t.Fatalf("version went from %d to %d", before, f.Version())
 			}
-			for _, f := range folds {
-				if d, ok := digests[f.Version()]; ok && d != f.Digest() {
-					t.Fatalf("two configurations of version %d", f.Version())
-				}
-				digests[f.Version()] = f.Digest()
-			}
+			w.check()
 		}
-		for _, f := range folds {
-			for f.Next() < uint64(len(log)) {
-				f.Add(log[f.Next()])
+		for _, f := range w.folds {
+			for f.Next() < uint64(len(w.log)) {
+				f.Add(w.log[f.Next()])
 			}
-			if f.Version() != folds[0].Version() || f.Digest() != folds[0].Digest() {
-				t.Fatalf("after the whole log one is at %d, another at %d", f.Version(), folds[0].Version())
+			if f.Version() != w.folds[0].Version() || f.Digest() != w.folds[0].Digest() {
+				t.Fatalf("after the whole log one is at %d, another at %d", f.Version(), w.folds[0].Version())
 			}
 		}
 	})
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -1,5 +1,6 @@
 // Package follow keeps the configuration in force: it folds the log's stream
-// and takes newer versions from peers.
+// and takes newer versions from peers. Besides the follower it exports its
+// options.
 package follow
 
 import (
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -1,5 +1,6 @@
 // Package limit decides how many calls a backend server may run at once while
 // it warms up, and bounds what it can be given before a restart is noticed.
+// Besides the limit it exports its options and the tickets that it gives out.
 package limit
 
 import (
--- a/core/mix/mix.go
+++ b/core/mix/mix.go
@@ -12,6 +12,7 @@
 	"gopkg.in/ini.v1"
 
 	"sequoialead"
+	"sequoialead/common/section"
 )
 
 // Mix is a load.
@@ -85,118 +86,71 @@
 	if err != nil {
 		return nil, sequoialead.ErrSettings.Wrap(err, "%s is not in INI form; correct the line named", name)
 	}
-	p := &parser{name: name}
+	r := section.New(name)
 	m := &Mix{}
 	for _, s := range file.Sections() {
-		p.section = s
-		kind, label, _ := strings.Cut(s.Name(), ".")
-		switch kind {
+		r.Enter(s)
+		word, label, _ := strings.Cut(s.Name(), ".")
+		switch word {
 		case ini.DefaultSection:
 		case "load":
-			p.load(m)
+			load(r, m)
 		case "request":
-			m.Kinds = append(m.Kinds, p.kind(label))
+			m.Kinds = append(m.Kinds, kind(r, label))
 		case "action":
-			m.Actions = append(m.Actions, p.action())
+			m.Actions = append(m.Actions, action(r))
 		default:
-			p.fault("section", "is not known; use load, request.NAME or action.NAME")
+			r.Fault("section", "is not known; use load, request.NAME or action.NAME")
 		}
 	}
-	if p.err == nil && (m.Rate <= 0 || m.Time <= 0 || len(m.Kinds) == 0) {
+	if r.Err() == nil && (m.Rate <= 0 || m.Time <= 0 || len(m.Kinds) == 0) {
 		return nil, sequoialead.ErrSettings.New("%s: give rate and time in [load], and at least one [request.NAME]", name)
 	}
 	sort.SliceStable(m.Actions, func(i, j int) bool { return m.Actions[i].At < m.Actions[j].At })
-	return m, p.err
+	return m, r.Err()
 }
 
-type parser struct {
-	name    string
-	section *ini.Section
-	// err is the first fault.
-	err error
+func load(r *section.Reader, m *Mix) {
+	m.Rate = r.Number("rate", 0)
+	m.Time = r.Time("time")
+	m.Seed = uint64(r.Number("seed", 1))
+	m.Burst = r.Number("burst", 1)
+	m.BurstTime = r.Time("burst-time")
+	m.BurstPeriod = r.Time("burst-period")
 }
 
-func (p *parser) fault(key, remedy string) {
-	if p.err == nil {
-		p.err = sequoialead.ErrSettings.New("%s: [%s] %s %s", p.name, p.section.Name(), key, remedy)
-	}
-}
-
-// time reads a time, which is zero if the key is missing.
-func (p *parser) time(key string) time.Duration {
-	if !p.section.HasKey(key) {
-		return 0
-	}
-	d, err := p.section.Key(key).Duration()
-	if err != nil || d < 0 {
-		p.fault(key, "is not a time such as 10s")
-	}
-	return d
-}
-
-func (p *parser) number(key string, fallback float64) float64 {
-	if !p.section.HasKey(key) {
-		return fallback
-	}
-	n, err := p.section.Key(key).Float64()
-	if err != nil || n < 0 {
-		p.fault(key, "is not a number from 0")
-	}
-	return n
-}
-
-func (p *parser) flag(key string) bool {
-	switch p.section.Key(key).String() {
-	case "yes":
-		return true
-	case "", "no":
-		return false
-	}
-	p.fault(key, "is neither yes nor no")
-	return false
-}
-
-func (p *parser) load(m *Mix) {
-	m.Rate = p.number("rate", 0)
-	m.Time = p.time("time")
-	m.Seed = uint64(p.number("seed", 1))
-	m.Burst = p.number("burst", 1)
-	m.BurstTime = p.time("burst-time")
-	m.BurstPeriod = p.time("burst-period")
-}
-
-func (p *parser) kind(name string) Kind {
+func kind(r *section.Reader, name string) Kind {
 	k := Kind{
 		Name:     name,
-		Pipeline: p.section.Key("pipeline").String(),
-		Customer: p.section.Key("customer").String(),
-		Weight:   p.number("weight", 1),
-		From:     p.time("from"),
-		Until:    p.time("until"),
-		Bytes:    int(p.number("bytes", 64)),
-		Prefix:   int(p.number("prefix", 0)),
-		Prefixes: int(p.number("prefixes", 1)),
-		Stream:   p.flag("stream"),
-		Deadline: p.time("deadline"),
-		Keyed:    p.flag("keyed"),
-	}
-	k.Key = p.section.Key("key").MustString(k.Customer + "-key")
+		Pipeline: r.Optional("pipeline", ""),
+		Customer: r.Optional("customer", ""),
+		Weight:   r.Number("weight", 1),
+		From:     r.Time("from"),
+		Until:    r.Time("until"),
+		Bytes:    int(r.Number("bytes", 64)),
+		Prefix:   int(r.Number("prefix", 0)),
+		Prefixes: int(r.Number("prefixes", 1)),
+		Stream:   r.Flag("stream"),
+		Deadline: r.Time("deadline"),
+		Keyed:    r.Flag("keyed"),
+	}
+	k.Key = r.Optional("key", k.Customer+"-key")
 	if k.Pipeline == "" || k.Customer == "" || k.Deadline == 0 {
-		p.fault("pipeline, customer and deadline", "are needed; add them")
+		r.Fault("pipeline, customer and deadline", "are needed; add them")
 	}
 	return k
 }
 
-func (p *parser) action() Action {
-	a := Action{At: p.time("at"), Words: strings.Fields(p.section.Key("do").String())}
+func action(r *section.Reader) Action {
+	a := Action{At: r.Time("at"), Words: strings.Fields(r.Optional("do", ""))}
 	if len(a.Words) < 2 {
-		p.fault("do", "has no verb with arguments; write for example drain domain nz-1")
+		r.Fault("do", "has no verb with arguments; write for example drain domain nz-1")
 		return a
 	}
 	switch a.Words[0] {
 	case VerbPatch, VerbDrain, VerbRestore, VerbCold, VerbSlow, VerbFail, VerbMend:
 	default:
-		p.fault("do", "has an unknown verb; use patch, drain, restore, cold, slow, fail or mend")
+		r.Fault("do", "has an unknown verb; use patch, drain, restore, cold, slow, fail or mend")
 	}
 	return a
 }
--- a/core/report/report.go
+++ b/core/report/report.go
@@ -1,5 +1,5 @@
-// Package report sums up a load: deadline attainment, times, outcomes and cost.
-// Its exported types are the parts of a report.
+// Package report sums up a load: deadline attainment, times, outcomes and
+// cost. Its exported types are the parts of a report.
 package report
 
 import (
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -1,5 +1,6 @@
 // Package settings reads a process's settings from an INI file, environment
-// variables and flags, and checks them once at the start.
+// variables and flags, and checks them once at the start. Besides the parser
+// it exports one kind of value that settings have.
 package settings
 
 import (
--- a/core/shares/shares.go
+++ b/core/shares/shares.go
@@ -1,5 +1,5 @@
 // Package shares orders waiting requests so that each customer gets its
-// weight's share.
+// weight's share. Besides the queue it exports the tickets that it gives out.
 package shares
 
 import "container/heap"
--- a/core/site/site.go
+++ b/core/site/site.go
@@ -10,6 +10,7 @@
 	"gopkg.in/ini.v1"
 
 	"sequoialead"
+	"sequoialead/common/section"
 )
 
 // Site is a system with its stand-ins.
@@ -60,85 +61,40 @@
 	if err != nil {
 		return nil, sequoialead.ErrSettings.Wrap(err, "%s is not in INI form; correct the line named", name)
 	}
-	p := &parser{name: name}
+	r := section.New(name)
 	s := &Site{}
-	for _, section := range file.Sections() {
-		p.section = section
+	for _, part := range file.Sections() {
+		r.Enter(part)
 		switch {
-		case section.Name() == ini.DefaultSection:
-		case section.Name() == sectionSite:
-			s.Region = p.text("region")
-			s.Fleet = p.text("fleet")
-			s.Operator = p.text("operator")
-			s.Key = p.text("key")
-			s.Log = p.addr("log")
-			s.List = p.addr("list")
-		case strings.HasPrefix(section.Name(), prefixEntry):
-			s.Entries = append(s.Entries, Entry{Name: section.Name()[len(prefixEntry):], Domain: p.text("domain"), Addr: p.addr("addr")})
-		case strings.HasPrefix(section.Name(), prefixBackend):
-			s.Backends = append(s.Backends, p.backend(section.Name()[len(prefixBackend):]))
+		case part.Name() == ini.DefaultSection:
+		case part.Name() == sectionSite:
+			s.Region = r.Text("region")
+			s.Fleet = r.Text("fleet")
+			s.Operator = r.Text("operator")
+			s.Key = r.Text("key")
+			s.Log = r.Addr("log")
+			s.List = r.Addr("list")
+		case strings.HasPrefix(part.Name(), prefixEntry):
+			s.Entries = append(s.Entries, Entry{Name: part.Name()[len(prefixEntry):], Domain: r.Text("domain"), Addr: r.Addr("addr")})
+		case strings.HasPrefix(part.Name(), prefixBackend):
+			s.Backends = append(s.Backends, backend(r, part.Name()[len(prefixBackend):]))
 		default:
-			p.fault("section", "is not known; use site, entry.NAME or backend.NAME")
+			r.Fault("section", "is not known; use site, entry.NAME or backend.NAME")
 		}
 	}
-	return s, p.err
+	return s, r.Err()
 }
 
-type parser struct {
-	name    string
-	section *ini.Section
-	// err is the first fault.
-	err error
-}
-
-func (p *parser) fault(key, remedy string) {
-	if p.err == nil {
-		p.err = sequoialead.ErrSettings.New("%s: [%s] %s %s", p.name, p.section.Name(), key, remedy)
-	}
-}
-
-func (p *parser) text(key string) string {
-	value := p.section.Key(key).String()
-	if value == "" {
-		p.fault(key, "is missing; add it")
-	}
-	return value
-}
-
-func (p *parser) addr(key string) netip.AddrPort {
-	addr, err := netip.ParseAddrPort(p.section.Key(key).String())
-	if err != nil {
-		p.fault(key, "is not IP:PORT")
-	}
-	return addr
-}
-
-func (p *parser) count(key string) int {
-	n, err := p.section.Key(key).Int()
-	if err != nil || n < 1 {
-		p.fault(key, "is not a whole number from 1")
-	}
-	return n
-}
-
-func (p *parser) time(key string) time.Duration {
-	d, err := p.section.Key(key).Duration()
-	if err != nil || d < 0 {
-		p.fault(key, "is not a time such as 20ms")
-	}
-	return d
-}
-
-func (p *parser) backend(name string) Backend {
+func backend(r *section.Reader, name string) Backend {
 	return Backend{
 		Name:   name,
-		Pool:   p.text("pool"),
-		Domain: p.text("domain"),
-		Addr:   p.addr("addr"),
-		Server: p.addr("server"),
-		Full:   p.count("full"),
-		Cold:   p.count("cold"),
-		Work:   p.time("work"),
-		Token:  p.time("token"),
+		Pool:   r.Text("pool"),
+		Domain: r.Text("domain"),
+		Addr:   r.Addr("addr"),
+		Server: r.Addr("server"),
+		Full:   r.Count("full"),
+		Cold:   r.Count("cold"),
+		Work:   r.Time("work"),
+		Token:  r.Time("token"),
 	}
 }
--- a/fake/list/list.go
+++ b/fake/list/list.go
@@ -1,4 +1,5 @@
-// Package list is a stand-in for the platform's list of instances, with its lag.
+// Package list is a stand-in for the platform's list of instances, with its
+// lag.
 package list
 
 import (
--- a/fake/log/log.go
+++ b/fake/log/log.go
@@ -1,5 +1,6 @@
 // Package log is a stand-in for the platform's append-only log, with its
-// outages, slowness, lost answers and limited retention.
+// outages, slowness, lost answers and limited retention. Besides the server it
+// exports its faults.
 package log
 
 import (
--- a/fake/proxy/proxy.go
+++ b/fake/proxy/proxy.go
@@ -1,4 +1,5 @@
 // Package proxy is a TCP proxy that injects faults between two processes.
+// Besides the proxy it exports its faults.
 package proxy
 
 import (
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -1,4 +1,5 @@
-// Package agent is the entry's side of the connections to one agent.
+// Package agent is the entry's side of the connections to one agent. Besides
+// the peer it exports its options and the interface that it needs.
 package agent
 
 import (
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -1,4 +1,6 @@
-// Package caller serves callers over HTTP and JSON.
+// Package caller serves callers over HTTP and JSON. Besides the handler it
+// exports its options, the forms of the bodies, and the interfaces that it
+// needs.
 package caller
 
 import (
--- a/io/console/console.go
+++ b/io/console/console.go
@@ -1,4 +1,5 @@
-// Package console is the operators' client of the entries.
+// Package console is the operators' client of the entries. Besides the client
+// it exports its options.
 package console
 
 import (
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -1,5 +1,6 @@
 // Package engine speaks to backend servers over HTTP: model engines, encoders,
 // retrievers and rerankers in their customary JSON forms, and plain services.
+// Besides the client it exports the forms of the bodies.
 package engine
 
 import (
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -1,11 +1,10 @@
-// Package entry is the agent's side of the connections from entries.
+// Package entry is the agent's side of the connections from entries. Besides
+// the server it exports its options and the interface that it needs.
 package entry
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -41,64 +40,44 @@
 
 // Options configures a server.
 type Options struct {
-	Addr    netip.AddrPort
 	Agent   *agent.Agent
 	Relayer Relayer
 	Sealer  *seal.Sealer
+	// Silence is how long a connection may bring nothing; 0 for the default.
 	Silence time.Duration
-	// Extra serves further paths, such as metrics.
-	Extra map[string]http.Handler
 }
 
 // Server takes connections from entries.
 type Server struct {
-	opts     Options
-	tomb     tomb.Tomb
-	listener net.Listener
-	http     *http.Server
+	opts Options
+	tomb tomb.Tomb
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// links is nil once the server is closed.
 	links map[*link.Link]struct{}
 }
 
-// New returns a server that does not listen yet.
+// New returns a server without connections.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, links: map[*link.Link]struct{}{}}
-	mux := goji.NewMux()
-	mux.HandleFunc(pat.Get(Path), s.accept)
-	for path, handler := range opts.Extra {
-		mux.Handle(pat.Get(path), handler)
-	}
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout}
-	return s
+	return &Server{opts: opts, links: map[*link.Link]struct{}{}}
 }
 
 var _ sequoialead.Service = (*Server)(nil)
 
-// Start listens and serves.
-func (s *Server) Start(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.opts.Addr.String())
-	if err != nil {
-		return sequoialead.ErrSettings.Wrap(err, "cannot listen on %s; choose another 'addr'", s.opts.Addr)
-	}
-	s.listener = listener
+// Mount adds the entries' path.
+func (s *Server) Mount(mux *goji.Mux) { mux.HandleFunc(pat.Get(Path), s.accept) }
+
+// Start keeps the server alive; connections come through the mounted path.
+func (s *Server) Start(context.Context) error {
 	s.tomb.Go(func() error {
-		if err := s.http.Serve(listener); err != http.ErrServerClosed {
-			return err
-		}
+		<-s.tomb.Dying()
 		return nil
 	})
 	return nil
 }
 
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() netip.AddrPort {
-	return s.listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
 // Close closes all connections and waits for their work to stop.
 func (s *Server) Close() error {
-	err := s.http.Close()
 	s.mu.Lock()
 	links := s.links
 	s.links = nil
@@ -107,10 +86,7 @@
 		_ = l.Close() // always nil
 	}
 	s.tomb.Kill(nil)
-	if werr := s.tomb.Wait(); werr != nil {
-		return werr
-	}
-	return err
+	return s.tomb.Wait()
 }
 
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -1,5 +1,5 @@
 // Package front sends requests to entries as callers do, and measures the
-// answers.
+// answers. Besides the client it exports what it sends and gets.
 package front
 
 import (
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -1,5 +1,5 @@
 // Package link carries frames over one WebSocket connection, as sequences of
-// CBOR items.
+// CBOR items. Besides the link it exports its options.
 package link
 
 import (
--- a/io/list/list.go
+++ b/io/list/list.go
@@ -1,4 +1,5 @@
-// Package list speaks to the platform's list of instances over HTTP.
+// Package list speaks to the platform's list of instances over HTTP. Besides
+// the client it exports the form of a line.
 package list
 
 import (
--- a/io/log/log.go
+++ b/io/log/log.go
@@ -1,4 +1,5 @@
-// Package log speaks to the platform's append-only log over HTTP.
+// Package log speaks to the platform's append-only log over HTTP. Besides the
+// client it exports the forms of the bodies.
 package log
 
 import (
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -1,5 +1,5 @@
-// Package operator serves operators over HTTP and JSON. Its exported types
-// are the bodies of the calls.
+// Package operator serves operators over HTTP and JSON. Its exported types are
+// the bodies of the calls.
 package operator
 
 import (
--- a/io/web/web.go
+++ b/io/web/web.go
@@ -1,4 +1,5 @@
-// Package web serves HTTP on one address.
+// Package web serves HTTP on one address. Besides the server it exports its
+// options.
 package web
 
 import (
--- a/testscripts/fleet_test.go
+++ b/testscripts/fleet_test.go
@@ -13,8 +13,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -36,14 +34,6 @@
 
 type fleetKey struct{}
 
-// process is one process of a fleet.
-type process struct {
-	args []string
-	cmd  *exec.Cmd
-	done chan error
-	log  *os.File
-}
-
 // fleet is a set of real processes with a proxy on each link.
 type fleet struct {
 	ports *ports
@@ -67,25 +57,6 @@
 	gone []fakeengine.Stats
 }
 
-// ports gives out ports below those that the system gives to connections, so
-// that no process of another fleet takes one in between.
-type ports struct {
-	next atomic.Int32
-}
-
-const firstPort = 11000
-
-func (p *ports) take() (netip.AddrPort, error) {
-	for range 1000 {
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+p.next.Add(1)))
-		l, err := net.Listen("tcp", addr.String())
-		if err == nil {
-			return addr, l.Close()
-		}
-	}
-	return netip.AddrPort{}, fmt.Errorf("no port is free above %d", firstPort)
-}
-
 // read reads a site and gives out addresses.
 func (f *fleet) read(text []byte) error {
 	var err error
@@ -296,84 +267,6 @@
 	return os.WriteFile(path, []byte(text), 0o600)
 }
 
-// run starts one process.
-func (f *fleet) run(name string) error {
-	p := f.procs[name]
-	if p == nil {
-		return fmt.Errorf("no process %q", name)
-	}
-	if p.log == nil {
-		log, err := os.Create(filepath.Join(f.dir, strings.ReplaceAll(name, ":", "-")+".log"))
-		if err != nil {
-			return err
-		}
-		p.log = log
-	}
-	p.cmd = exec.Command(f.binary, p.args...)
-	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
-	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
-	if err := p.cmd.Start(); err != nil {
-		return err
-	}
-	p.done = make(chan error, 1)
-	go func(cmd *exec.Cmd, done chan error) { done <- cmd.Wait() }(p.cmd, p.done)
-	return nil
-}
-
-// command runs the binary once and returns what it printed.
-func (f *fleet) command(args ...string) ([]byte, error) {
-	return exec.Command(f.binary, args...).CombinedOutput()
-}
-
-// end sends a process a signal and waits until it is gone.
-func (f *fleet) end(name string, signal syscall.Signal) error {
-	p := f.procs[name]
-	if p == nil || p.cmd == nil {
-		return fmt.Errorf("no process %q runs", name)
-	}
-	if strings.HasPrefix(name, "backend:") {
-		if s, err := f.stats(strings.TrimPrefix(name, "backend:")); err == nil {
-			f.gone = append(f.gone, s)
-		}
-	}
-	if err := p.cmd.Process.Signal(signal); err != nil {
-		return err
-	}
-	select {
-	case err := <-p.done:
-		p.cmd = nil
-		if signal == syscall.SIGTERM {
-			return err
-		}
-		return nil
-	case <-time.After(stopTimeout):
-		return fmt.Errorf("%s did not stop within %s", name, stopTimeout)
-	}
-}
-
-func (f *fleet) signal(name string, signal syscall.Signal) error {
-	p := f.procs[name]
-	if p == nil || p.cmd == nil {
-		return fmt.Errorf("no process %q runs", name)
-	}
-	return p.cmd.Process.Signal(signal)
-}
-
-func (f *fleet) close() {
-	for _, p := range f.procs {
-		if p.cmd != nil {
-			_ = p.cmd.Process.Kill()
-			<-p.done
-		}
-		if p.log != nil {
-			_ = p.log.Close()
-		}
-	}
-	for _, p := range f.proxies {
-		_ = p.Close()
-	}
-}
-
 // setList publishes the instance list, with the named instances leaving.
 func (f *fleet) setList(leaving map[string]bool) error {
 	lines := append([]list.Line(nil), f.lines...)
