commands: Write the settings of a site's processes

Cause: the examples had a site but no settings files, and real processes of a site could be started only by the tests.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -107,6 +107,7 @@
 		newRestore(deps),
 		newLoad(deps),
 		newKey(deps),
+		newSettings(deps),
 		newFake(deps),
 	}
 	root.Subcommands = append(root.Subcommands, newCompletion(deps, root))
--- /dev/null
+++ b/commands/settings.go
@@ -0,0 +1,101 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoialead"
+	"sequoialead/core/site"
+)
+
+const (
+	settingsMode  = 0o600
+	directoryMode = 0o755
+)
+
+func newSettings(deps Deps) *ffcli.Command {
+	flags := newFlags("sequoialead settings", deps)
+	dir := flags.String("site", "examples/whiskerlane", "a folder with site.ini")
+	out := flags.String("out", "out/settings", "the folder to write to")
+	return &ffcli.Command{
+		Name:       "settings",
+		ShortUsage: "sequoialead settings [--site DIR] [--out DIR]",
+		ShortHelp:  "write the settings of each process of a site",
+		LongHelp:   "Writes entry-NAME.ini and agent-NAME.ini for the daemons, and instances.json for the stand-in of the instance list.",
+		FlagSet:    flags,
+		Exec: func(context.Context, []string) error {
+			s, err := readSite(*dir)
+			if err != nil {
+				return err
+			}
+			if err := writeSettings(s, *out); err != nil {
+				return sequoialead.ErrSettings.Wrap(err, "the settings cannot be written to %s; give another folder with --out", *out)
+			}
+			_, err = fmt.Fprintf(deps.Stdout, "wrote settings of %d entries and %d agents to %s\n", len(s.Entries), len(s.Backends), *out)
+			return err
+		},
+	}
+}
+
+func writeSettings(s *site.Site, dir string) error {
+	if err := os.MkdirAll(dir, directoryMode); err != nil {
+		return err
+	}
+	for _, e := range s.Entries {
+		if err := os.WriteFile(filepath.Join(dir, "entry-"+e.Name+".ini"), []byte(entryText(s, e)), settingsMode); err != nil {
+			return err
+		}
+	}
+	for _, b := range s.Backends {
+		if err := os.WriteFile(filepath.Join(dir, "agent-"+b.Name+".ini"), []byte(agentText(s, b)), settingsMode); err != nil {
+			return err
+		}
+	}
+	raw, err := json.MarshalIndent(siteLines(s), "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "instances.json"), raw, settingsMode)
+}
+
+// entryText returns the settings of an entry in INI form.
+func entryText(s *site.Site, e site.Entry) string {
+	return lines(
+		"name", e.Name,
+		"region", s.Region,
+		"domain", e.Domain,
+		"addr", e.Addr,
+		"log", s.Log,
+		"list", s.List,
+		"fleet", s.Fleet,
+		"operators", s.Operator+":"+digest(s.Key),
+	)
+}
+
+// agentText returns the settings of an agent in INI form.
+func agentText(s *site.Site, b site.Backend) string {
+	return lines(
+		"name", b.Name,
+		"pool", b.Pool,
+		"region", s.Region,
+		"domain", b.Domain,
+		"addr", b.Addr,
+		"backend", b.Server,
+		"fleet", s.Fleet,
+	)
+}
+
+// lines returns pairs of keys and values in INI form.
+func lines(pairs ...any) string {
+	var b strings.Builder
+	for i := 0; i+1 < len(pairs); i += 2 {
+		fmt.Fprintf(&b, "%v = %v\n", pairs[i], pairs[i+1])
+	}
+	return b.String()
+}
