--- a/core/fold/fold_test.go
+++ b/core/fold/fold_test.go
@@ -71,10 +71,13 @@
 	f.Add(record(1, rival))
 	f.Add(record(2, first))
 	f.Add(record(3, propose(t, f, 3, sequoialead.Change{Section: "pool.x", Key: "full", Value: "none"})))
-	f.Add(record(4, propose(t, newFold(t, "another key of 16 bytes"), 4, out("c"))))
+	other := newFold(t, key)
+	other.Add(record(0, propose(t, other, 5, out("z"))))
+	f.Add(record(4, propose(t, other, 6, out("y"))))
+	f.Add(record(5, propose(t, newFold(t, "another key of 16 bytes"), 4, out("c"))))
 	c.Assert(verdicts(f), qt.DeepEquals, []sequoialead.Verdict{
 		sequoialead.VerdictAccepted, sequoialead.VerdictConflict, sequoialead.VerdictRepeat,
-		sequoialead.VerdictInvalid, sequoialead.VerdictForged,
+		sequoialead.VerdictInvalid, sequoialead.VerdictConflict, sequoialead.VerdictForged,
 	})
 	c.Assert(f.Version(), qt.Equals, sequoialead.Version(1))
 	c.Assert(f.Config().Out, qt.DeepEquals, map[string]bool{"a": true})
