link: Carry consecutive pieces in one frame, and copy each token once

Change: a frame carries all consecutive pieces at hand (protocol 2); the answer is appended to bytes; events are encoded into one buffer; an answer that is not streamed leaves with its end. Benchmarks leave out the proxies.

--- a/core/agent/job.go
+++ b/core/agent/job.go
@@ -128,12 +128,15 @@
 	}
 	id := j.item.Call.ID
 	var batch []frame.Frame
+	first := d.next
 	for int(d.next) < len(j.item.Chunks) && d.credit > 0 {
-		data := j.item.Chunks[d.next]
-		batch = append(batch, frame.Frame{Chunk: &frame.Chunk{ID: id, Chunk: sequoialead.Chunk{Seq: d.next, Data: data}}})
-		d.credit -= len(data)
+		d.credit -= len(j.item.Chunks[d.next])
 		d.next++
 	}
+	if d.next > first {
+		pieces := j.item.Chunks[first:d.next:d.next]
+		batch = append(batch, frame.Frame{Chunk: &frame.Chunk{ID: id, Seq: first, Pieces: pieces}})
+	}
 	if !j.over() || int(d.next) < len(j.item.Chunks) {
 		return batch, false
 	}
--- a/core/agent/run.go
+++ b/core/agent/run.go
@@ -90,7 +90,8 @@
 
 var _ sequoialead.Reply = (*reply)(nil)
 
-// Chunk adds data to the call's answer.
+// Chunk adds data to the call's answer. An answer that is not streamed is
+// delivered together with its end.
 func (r *reply) Chunk(data []byte) error {
 	r.agent.mu.Lock()
 	defer r.agent.mu.Unlock()
@@ -98,7 +99,9 @@
 		r.job.reason = sequoialead.ReasonMemory
 		return sequoialead.ErrFailed.New("the answer does not fit in memory; raise 'memory' in the agent's settings")
 	}
-	r.job.wake()
+	if r.job.item.Call.Op.Streams() {
+		r.job.wake()
+	}
 	return nil
 }
 
--- a/core/entry/collect.go
+++ b/core/entry/collect.go
@@ -22,12 +22,12 @@
 		c.raw = append(c.raw, data...)
 		return nil
 	}
-	w.Answer += string(data)
+	w.Answer = append(w.Answer, data...)
 	w.Produced++
 	if c.task.run.sink == nil {
 		return nil
 	}
-	return c.task.run.sink.Token(string(data))
+	return c.task.run.sink.Token(data)
 }
 
 // Flush passes on that no more text is at hand.
--- a/core/entry/run.go
+++ b/core/entry/run.go
@@ -222,7 +222,7 @@
 	if outcome != sequoialead.OutcomeDone {
 		return a
 	}
-	a.Text = r.work.Answer
+	a.Text = string(r.work.Answer)
 	a.Tokens = r.work.Produced
 	a.Body = r.work.Reply
 	a.Status = r.work.Status
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -5,7 +5,7 @@
 import "sequoialead"
 
 // Protocol is the version of the messages. Both ends must speak the same.
-const Protocol = 1
+const Protocol = 2
 
 // Frame is one message. Exactly one member is set.
 type Frame struct {
@@ -28,10 +28,12 @@
 	Agent    sequoialead.Hello `cbor:"2,keyasint"`
 }
 
-// Chunk carries a piece of a call's answer.
+// Chunk carries consecutive pieces of a call's answer.
 type Chunk struct {
-	ID    sequoialead.CallID `cbor:"1,keyasint"`
-	Chunk sequoialead.Chunk  `cbor:"2,keyasint"`
+	ID sequoialead.CallID `cbor:"1,keyasint"`
+	// Seq is the sequence number of the first piece.
+	Seq    uint32   `cbor:"2,keyasint"`
+	Pieces [][]byte `cbor:"3,keyasint"`
 }
 
 // End carries the end of a call's answer.
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -79,7 +79,7 @@
 	Vector    []float32
 	Documents []Document
 	// Answer is the text generated so far.
-	Answer string
+	Answer []byte
 	// Produced is the number of tokens of the current generation.
 	Produced int
 	// Reply is a plain service's answer.
@@ -113,7 +113,7 @@
 		}
 		return encode(request)
 	case sequoialead.OpGenerate:
-		return encode(GenerateRequest{Prompt: w.Prompt() + w.Answer, Tokens: stage.Tokens - w.Produced, Stream: true})
+		return encode(GenerateRequest{Prompt: w.Prompt() + string(w.Answer), Tokens: stage.Tokens - w.Produced, Stream: true})
 	}
 	if len(w.Body) == 0 {
 		return []byte("{}"), nil
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -65,7 +65,10 @@
 		return
 	}
 	c.mu.Lock()
-	c.inbox = append(c.inbox, c.buffer.Add(f.Chunk)...)
+	for i, piece := range f.Pieces {
+		ready := c.buffer.Add(sequoialead.Chunk{Seq: f.Seq + uint32(i), Data: piece})
+		c.inbox = append(c.inbox, ready...)
+	}
 	c.mu.Unlock()
 	c.wake()
 }
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -1,8 +1,8 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -28,12 +28,17 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	begun   bool
+	// buffer holds the event that is being written by encoder.
+	buffer  bytes.Buffer
+	encoder *json.Encoder
 }
 
 var _ sequoialead.Sink = (*stream)(nil)
 
 func newStream(w http.ResponseWriter) *stream {
-	return &stream{w: w, control: http.NewResponseController(w)}
+	s := &stream{w: w, control: http.NewResponseController(w)}
+	s.encoder = json.NewEncoder(&s.buffer)
+	return s
 }
 
 func (s *stream) begin() {
@@ -44,20 +49,24 @@
 }
 
 // Token sends a piece of text.
-func (s *stream) Token(text string) error {
+func (s *stream) Token(text []byte) error {
 	if !s.begun {
 		s.begin()
 	}
-	return s.event(EventToken, Token{Text: text})
+	return s.event(EventToken, Token{Text: string(text)})
 }
 
 // event writes an event, which may stay in the connection's buffer.
 func (s *stream) event(name string, value any) error {
-	raw, err := json.Marshal(value)
-	if err != nil {
+	s.buffer.Reset()
+	s.buffer.WriteString("event: ")
+	s.buffer.WriteString(name)
+	s.buffer.WriteString("\ndata: ")
+	if err := s.encoder.Encode(value); err != nil { // ends with a line feed
 		return err
 	}
-	_, err = fmt.Fprintf(s.w, "event: %s\ndata: %s\n\n", name, raw)
+	s.buffer.WriteByte('\n')
+	_, err := s.w.Write(s.buffer.Bytes())
 	return err
 }
 
--- a/peer.go
+++ b/peer.go
@@ -79,8 +79,8 @@
 // Sink receives a streamed answer.
 type Sink interface {
 	// Token is called for each piece of text in order. The text may be held
-	// back until Flush.
-	Token(text string) error
+	// back until Flush, but not the slice.
+	Token(text []byte) error
 	// Flush sends what was held back.
 	Flush() error
 }
--- a/sequoialead.go
+++ b/sequoialead.go
@@ -72,8 +72,8 @@
 // Chunk is one piece of a call's answer.
 type Chunk struct {
 	// Seq counts the chunks of a call from 0 without gaps.
-	Seq  uint32 `cbor:"1,keyasint"`
-	Data []byte `cbor:"2,keyasint"`
+	Seq  uint32
+	Data []byte
 }
 
 // Ending tells how a call ended.
--- a/testscripts/fleet_test.go
+++ b/testscripts/fleet_test.go
@@ -38,7 +38,9 @@
 type fleet struct {
 	ports *ports
 	// full is set where the site is in the form of core/site.
-	full    bool
+	full bool
+	// bare leaves out the proxies.
+	bare    bool
 	dir     string
 	binary  string
 	site    *site.Site
@@ -203,7 +205,11 @@
 	return fmt.Errorf("nothing listens on %s", addr)
 }
 
+// link puts a proxy before an address, unless the fleet is to be measured.
 func (f *fleet) link(name string, to netip.AddrPort) (netip.AddrPort, error) {
+	if f.bare {
+		return to, nil
+	}
 	p, err := proxy.New(to)
 	if err != nil {
 		return netip.AddrPort{}, err
