link: Let senders write, and tell entries of an agent that leaves

Cause: each frame passed from its sender to a writing goroutine, eight times for a four-stage request. And an agent that stopped closed its connections while calls of entries that did not know yet were on their way. Change: whoever sends writes for all that is queued; handlers post, so that two readers never wait for each other's writes; an agent that leaves says so on all connections and goes on answering for a second. The details that expect prints are wider now.

--- a/commands/build.go
+++ b/commands/build.go
@@ -75,6 +75,10 @@
 	grace   time.Duration
 }
 
+// leaveNotice is how long an agent that leaves goes on answering, which covers
+// the time that messages between it and its entries take.
+const leaveNotice = time.Second
+
 // leastSubset is the size of a pool below which an entry connects to all of it.
 const leastSubset = 32
 
@@ -206,7 +210,14 @@
 	if err != nil {
 		return err
 	}
+	links, err := kernel.Find[*ioentry.Server](k, nameLinks)
+	if err != nil {
+		return err
+	}
 	agent.Leave()
+	links.Announce()
+	// Calls that were sent before the entries knew are answered with refusals.
+	time.Sleep(leaveNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	_ = agent.Drained(ctx) // what is left after the grace is closed
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -253,7 +253,7 @@
 		p.opts.Changed()
 	case f.Pull != nil:
 		if r, ok := p.opts.Configuration.Relay(f.Pull.Have); ok {
-			_ = l.Send(frame.Frame{Relay: &r}) // a lost link is noticed by its reader
+			l.Post(frame.Frame{Relay: &r})
 		}
 	case f.Relay != nil:
 		if err := p.opts.Configuration.Learn(*f.Relay); err != nil {
@@ -275,7 +275,7 @@
 	p.mu.Unlock()
 	p.reading(l, h.Agent.Load)
 	if r, ok := p.opts.Configuration.Relay(h.Agent.Load.Version); ok {
-		_ = l.Send(frame.Frame{Relay: &r}) // a lost link is noticed by its reader
+		l.Post(frame.Frame{Relay: &r})
 	}
 	p.opts.Changed()
 }
@@ -289,7 +289,7 @@
 	p.mu.Unlock()
 	mine := p.opts.Configuration.Version()
 	if load.Version > mine {
-		_ = l.Send(frame.Frame{Pull: &frame.Pull{Have: mine}}) // a lost link is noticed by its reader
+		l.Post(frame.Frame{Pull: &frame.Pull{Have: mine}})
 	}
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -76,6 +76,20 @@
 	return nil
 }
 
+// Announce tells all entries the agent's load at once, as when it leaves.
+func (s *Server) Announce() {
+	s.mu.Lock()
+	var links []*link.Link
+	for l := range s.links {
+		links = append(links, l)
+	}
+	s.mu.Unlock()
+	load := s.opts.Agent.Load()
+	for _, l := range links {
+		_ = l.Send(frame.Frame{Pong: &frame.Pong{Load: load}}) // a lost link is noticed by its reader
+	}
+}
+
 // Close closes all connections and waits for their work to stop.
 func (s *Server) Close() error {
 	s.mu.Lock()
@@ -145,7 +159,7 @@
 			l.Drop(err)
 			return
 		}
-		s.send(l, frame.Frame{Pong: &frame.Pong{Load: s.opts.Agent.Load()}})
+		l.Post(frame.Frame{Pong: &frame.Pong{Load: s.opts.Agent.Load()}})
 	}
 }
 
@@ -154,25 +168,19 @@
 		s.opts.Agent.Hint()
 	}
 	load := s.opts.Agent.Load()
-	s.send(l, frame.Frame{Pong: &frame.Pong{Load: load}})
+	l.Post(frame.Frame{Pong: &frame.Pong{Load: load}})
 	s.compare(l, p.Version, load.Version)
 }
 
 // compare asks for what the entry has newer.
 func (s *Server) compare(l *link.Link, theirs, mine sequoialead.Version) {
 	if theirs > mine {
-		s.send(l, frame.Frame{Pull: &frame.Pull{Have: mine}})
+		l.Post(frame.Frame{Pull: &frame.Pull{Have: mine}})
 	}
 }
 
 func (s *Server) relay(l *link.Link, have sequoialead.Version) {
 	if r, ok := s.opts.Relayer.Relay(have); ok {
-		s.send(l, frame.Frame{Relay: &r})
+		l.Post(frame.Frame{Relay: &r})
 	}
 }
-
-// send queues a frame without blocking the reader for good: a link whose queue
-// stays full is closed by its write timeout.
-func (s *Server) send(l *link.Link, f frame.Frame) {
-	_ = l.Send(f) // a lost link is noticed by its reader
-}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,7 +28,7 @@
 // Options configures a link.
 type Options struct {
 	Conn *websocket.Conn
-	// Handle takes each frame in order. It must not block for long.
+	// Handle takes each frame in order. It must not block, and sends with Post.
 	Handle func(*Link, frame.Frame)
 	// Silence is how long the connection may bring nothing before it is closed.
 	Silence time.Duration
@@ -39,6 +40,11 @@
 	tomb  tomb.Tomb
 	queue chan frame.Frame
 	meter meter
+
+	// writing is held by the call of Send that writes for all.
+	writing sync.Mutex
+	buffer  bytes.Buffer
+	encoder *cbor.Encoder
 }
 
 // New starts a link over an open connection.
@@ -47,10 +53,10 @@
 		opts.Silence = DefaultSilence
 	}
 	l := &Link{opts: opts, queue: make(chan frame.Frame, QueueFrames)}
+	l.encoder = cbor.NewEncoder(&l.buffer)
 	l.meter.last.Store(time.Now().UnixNano())
 	opts.Conn.SetReadLimit(MessageBytes)
 	l.tomb.Go(l.read)
-	l.tomb.Go(l.write)
 	l.tomb.Go(func() error {
 		<-l.tomb.Dying()
 		return opts.Conn.Close()
@@ -58,14 +64,32 @@
 	return l
 }
 
-// Send queues a frame. It blocks while the queue is full.
+// Send queues a frame and writes what is queued, unless another call is doing
+// so. It blocks while the queue is full.
 func (l *Link) Send(f frame.Frame) error {
 	select {
 	case l.queue <- f:
-		return nil
 	case <-l.tomb.Dying():
 		return sequoialead.ErrClosed.New("the connection is closed; use another")
 	}
+	for len(l.queue) > 0 && l.writing.TryLock() {
+		err := l.write()
+		l.writing.Unlock()
+		if err != nil {
+			l.tomb.Kill(err)
+			return err
+		}
+	}
+	return nil
+}
+
+// Post sends a frame from Handle, which must not write itself: two readers
+// that write to each other could both wait for good.
+func (l *Link) Post(f frame.Frame) {
+	l.tomb.Go(func() error {
+		_ = l.Send(f) // a lost link is noticed by its reader
+		return nil
+	})
 }
 
 // Gone is closed once the link is.
@@ -149,48 +173,44 @@
 	return frames, nil
 }
 
+// write writes the queued frames. The caller holds writing.
 func (l *Link) write() error {
-	var buffer bytes.Buffer
-	encoder := cbor.NewEncoder(&buffer)
 	for {
 		select {
-		case <-l.tomb.Dying():
-			return nil
 		case f := <-l.queue:
-			if err := l.batch(&buffer, encoder, f); err != nil {
+			if err := l.batch(f); err != nil {
 				return err
 			}
-		}
-		if err := l.flush(&buffer); err != nil {
-			return err
+		default:
+			return nil
 		}
 	}
 }
 
-// batch encodes a frame and those queued behind it into one message.
-func (l *Link) batch(buffer *bytes.Buffer, encoder *cbor.Encoder, f frame.Frame) error {
+// batch writes a frame and those queued behind it as one message.
+func (l *Link) batch(f frame.Frame) error {
 	for {
-		if err := encoder.Encode(f); err != nil {
+		if err := l.encoder.Encode(f); err != nil {
 			return sequoialead.ErrProtocol.Wrap(err, "a frame cannot be encoded; report this as a defect")
 		}
-		if buffer.Len() >= BatchBytes {
-			return nil
+		if l.buffer.Len() >= BatchBytes {
+			return l.flush()
 		}
 		select {
 		case f = <-l.queue:
 		default:
-			return nil
+			return l.flush()
 		}
 	}
 }
 
-func (l *Link) flush(buffer *bytes.Buffer) error {
+func (l *Link) flush() error {
 	if err := l.opts.Conn.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
 		return err
 	}
-	l.meter.sent.Add(uint64(buffer.Len()))
-	err := l.opts.Conn.WriteMessage(websocket.BinaryMessage, buffer.Bytes())
-	buffer.Reset()
+	l.meter.sent.Add(uint64(l.buffer.Len()))
+	err := l.opts.Conn.WriteMessage(websocket.BinaryMessage, l.buffer.Bytes())
+	l.buffer.Reset()
 	if err != nil {
 		return sequoialead.ErrLost.Wrap(err, "the connection is gone; it is opened anew")
 	}
--- a/testscripts/expect_test.go
+++ b/testscripts/expect_test.go
@@ -37,7 +37,7 @@
 	var some []string
 	for _, c := range g.calls {
 		if c.outcome != "done" && len(some) < 3 {
-			some = append(some, fmt.Sprintf("%s %s %s %s%s", c.id, c.outcome, c.answer.Reason, c.answer.Detail, c.detail))
+			some = append(some, fmt.Sprintf("%s %s %s %s%s %v", c.id, c.outcome, c.answer.Reason, c.answer.Detail, c.detail, c.answer.Stages))
 		}
 	}
 	return strings.Join(some, "; ")
