--- a/commands/agent.go
+++ b/commands/agent.go
@@ -42,7 +42,7 @@
 		ShortUsage: "sequoialead agent --config FILE [FLAGS]",
 		ShortHelp:  "run an agent, which guards one backend server",
 		FlagSet:    flags,
-		Options:    options(parser),
+		Options:    parser.Options(),
 		Exec: func(ctx context.Context, _ []string) error {
 			if err := parser.Check(); err != nil {
 				return err
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -11,13 +11,11 @@
 	"time"
 
 	"github.com/joomcode/errorx"
-	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"k8s.io/klog/v2"
 
 	"sequoialead"
 	"sequoialead/common/line"
-	"sequoialead/core/settings"
 )
 
 // Exit codes of the command line.
@@ -120,9 +118,6 @@
 	return flags
 }
 
-// options returns the ff options of a command that reads settings.
-func options(parser *settings.Parser) []ff.Option { return parser.Options() }
-
 func newLogger(deps Deps, verbosity int) klog.Logger {
 	return line.New(deps.Stderr, verbosity, deps.Now)
 }
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -18,7 +18,7 @@
 	defaultLag      = 5 * time.Second
 	defaultGrace    = 30 * time.Second
 	defaultSnapshot = 10 * time.Minute
-	defaultCover    = 8
+	defaultCover    = 4
 	defaultAnswer   = 4 << 20
 )
 
@@ -51,7 +51,7 @@
 		ShortUsage: "sequoialead entry --config FILE [FLAGS]",
 		ShortHelp:  "run an entry, which takes callers' requests",
 		FlagSet:    flags,
-		Options:    options(parser),
+		Options:    parser.Options(),
 		Exec: func(ctx context.Context, _ []string) error {
 			if err := parser.Check(); err != nil {
 				return err
--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -31,7 +31,7 @@
 	// AnswerBytes is the largest answer that is recorded.
 	AnswerBytes = 32 << 10
 	// LedgerBytes bounds the recorded answers of one shard.
-	LedgerBytes    = 8 << 20
+	LedgerBytes    = 1 << 20
 	DefaultWindow  = time.Hour
 	flushPeriod    = 4 * time.Millisecond
 	flushItems     = 512
--- a/core/entry/stage.go
+++ b/core/entry/stage.go
@@ -36,6 +36,7 @@
 	detail string
 }
 
+// do runs the stage, with as many attempts as it needs and may have.
 func (t task) do(ctx context.Context) ending {
 	avoid := map[string]bool{}
 	// worst is what is known of the attempts that were sent.
@@ -47,14 +48,9 @@
 			worst.reason = reason
 			return worst
 		}
-		if t.run.held != nil && !t.stage.Idempotent && !t.run.held.Sending() {
+		if reason := t.unfit(ctx); reason != "" {
 			t.run.entry.release(t.stage.Pool, seat)
-			worst.reason = sequoialead.ReasonClaim
-			return worst
-		}
-		if t.late(ctx) {
-			t.run.entry.release(t.stage.Pool, seat)
-			worst.reason = sequoialead.ReasonDeadline
+			worst.reason = reason
 			return worst
 		}
 		got, verdict := t.attempt(ctx, seat, uint8(attempt))
@@ -84,6 +80,18 @@
 	return worst
 }
 
+// unfit returns why the stage must not be sent now, or an empty reason.
+func (t task) unfit(ctx context.Context) sequoialead.Reason {
+	held := t.run.held
+	switch {
+	case held != nil && !t.stage.Idempotent && !held.Sending():
+		return sequoialead.ReasonClaim
+	case t.late(ctx):
+		return sequoialead.ReasonDeadline
+	}
+	return ""
+}
+
 // late reports whether the time left cannot cover the stage, so that a call
 // would be wasted.
 func (t task) late(ctx context.Context) bool {
--- a/core/follow/propose.go
+++ b/core/follow/propose.go
@@ -24,8 +24,11 @@
 		return sequoialead.Audit{}, sequoialead.ErrPlatform.New("this process has no log; ask an entry")
 	}
 	raw, settled, err := w.prepare(&p)
-	if err != nil || settled != nil {
-		return *settledOr(settled), err
+	if err != nil {
+		return sequoialead.Audit{}, err
+	}
+	if settled != nil {
+		return *settled, nil
 	}
 	for {
 		actx, cancel := context.WithTimeout(ctx, appendTimeout)
@@ -45,13 +48,6 @@
 	}
 }
 
-func settledOr(a *sequoialead.Audit) *sequoialead.Audit {
-	if a == nil {
-		return &sequoialead.Audit{}
-	}
-	return a
-}
-
 // prepare checks and seals a patch. It returns an audit line if the patch is
 // settled without the log's help.
 func (w *Follower) prepare(p *sequoialead.Patch) ([]byte, *sequoialead.Audit, error) {
