--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -107,6 +107,10 @@
 }
 
 func (h *Handler) run(w http.ResponseWriter, r *http.Request) {
+	if _, version := h.opts.Configuration.Current(); version == 0 {
+		refuse(w, sequoialead.ReasonUnready, "")
+		return
+	}
 	customer, ok := h.customer(r)
 	if !ok {
 		refuse(w, sequoialead.ReasonKey, "")
