claims: Bound what waits for the log

Cause: read through: during an outage of the log every keyed request left two items in a queue without bound.

--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -31,7 +31,10 @@
 	// AnswerBytes is the largest answer that is recorded.
 	AnswerBytes = 32 << 10
 	// LedgerBytes bounds the recorded answers of one shard.
-	LedgerBytes    = 1 << 20
+	LedgerBytes = 1 << 20
+	// QueueItems is the number of items of a shard that may wait for the log
+	// before claims are refused at once.
+	QueueItems     = 4096
 	DefaultWindow  = time.Hour
 	flushPeriod    = 4 * time.Millisecond
 	flushItems     = 512
@@ -119,6 +122,17 @@
 	return s, nil
 }
 
+// Queued returns the number of items that wait for the log.
+func (c *Claimer) Queued() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := 0
+	for _, s := range c.shards {
+		sum += s.pending()
+	}
+	return sum
+}
+
 // Claim returns a claim if the request may run, or else what is known of the
 // request that holds its key.
 func (c *Claimer) Claim(ctx context.Context, request sequoialead.Request) (entry.Held, *sequoialead.Answer) {
--- a/core/claims/shard.go
+++ b/core/claims/shard.go
@@ -55,8 +55,12 @@
 	}
 }
 
-// ready waits until the stream was read to its end once.
+// ready waits until the stream was read to its end once. It fails at once while
+// too much waits for the log.
 func (s *shard) ready(ctx context.Context) error {
+	if s.pending() >= QueueItems {
+		return sequoialead.ErrPlatform.New("%d claims wait for the log; look whether it takes records", s.pending())
+	}
 	return s.until(ctx, func() bool { return s.caught })
 }
 
@@ -168,13 +172,17 @@
 	}
 }
 
+// pending returns the number of items that are not in the log for sure.
+func (s *shard) pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) + s.writing
+}
+
 // flushed waits until all queued items are in the log, or the context ends.
 func (s *shard) flushed(ctx context.Context) {
 	for {
-		s.mu.Lock()
-		left := len(s.queue) + s.writing
-		s.mu.Unlock()
-		if left == 0 {
+		if s.pending() == 0 {
 			return
 		}
 		select {
