shares: Share time rather than numbers of requests

Queues counted requests, so a customer with captions of 0.3 s beside brochures of 2 s got a fifth of the requests and not of the time. Change: a request counts with its stage's median time, in the fair queue and in the wait for a share.

--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -34,8 +34,10 @@
 	w := &waiter{prefix: t.prefix, given: make(chan sequoialead.Peer, 1), avoid: avoid}
 	e.mu.Lock()
 	p := e.pool(t.stage.Pool)
-	ticket := p.queue.Push(t.customer.Name, e.weight(t.customer), t.index > 0, w)
-	e.pump(p, time.Now())
+	now := time.Now()
+	cost := e.time(t.stage.Name).Quantile(earlyQuantile, now)
+	ticket := p.queue.Push(t.customer.Name, e.weight(t.customer), cost, t.index > 0, w)
+	e.pump(p, now)
 	e.mu.Unlock()
 	ticker := time.NewTicker(absentPeriod)
 	defer ticker.Stop()
--- a/core/entry/run.go
+++ b/core/entry/run.go
@@ -105,8 +105,12 @@
 	var need, waits time.Duration
 	for _, s := range r.pipeline.Stages {
 		p := e.pool(s.Pool)
-		need += e.time(s.Name).Quantile(earlyQuantile, now)
-		waits += e.book.Wait(s.Pool, r.customer.Name, e.weight(r.customer), max(e.slots(p), 1), p.serviceTime(now), conf.Policy.Fair)
+		service := e.time(s.Name).Quantile(earlyQuantile, now)
+		need += service
+		if !conf.Policy.Fair {
+			service = p.serviceTime(now) // the wait is for everyone's requests
+		}
+		waits += e.book.Wait(s.Pool, r.customer.Name, e.weight(r.customer), max(e.slots(p), 1), service, conf.Policy.Fair)
 	}
 	left := r.deadline.Sub(now) - endMargin
 	switch {
--- a/core/shares/shares.go
+++ b/core/shares/shares.go
@@ -1,8 +1,11 @@
 // Package shares orders waiting requests so that each customer gets its
-// weight's share. Besides the queue it exports the tickets that it gives out.
+// weight's share of the service time. Besides the queue it exports the tickets that it gives out.
 package shares
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // Ticket stands for one waiting request.
 type Ticket struct {
@@ -10,7 +13,9 @@
 	Value any
 	// ahead sorts requests with stages behind them before others.
 	ahead bool
-	// finish is the virtual time at which the request would be served.
+	// start and finish are the virtual times between which the request would
+	// be served.
+	start  float64
 	finish float64
 	// order breaks ties by arrival.
 	order uint64
@@ -21,7 +26,7 @@
 // Queue is a weighted fair queue. It is not safe for concurrent use.
 type Queue struct {
 	tickets tickets
-	// now is the virtual time: that of the request served last.
+	// now is the virtual time: the start of the request served last.
 	now float64
 	// last is the virtual finish of each customer's latest request. Customers
 	// behind now are dropped.
@@ -29,6 +34,9 @@
 	order uint64
 }
 
+// leastCost is that of a request whose time is not known.
+const leastCost = time.Millisecond
+
 // sweepSize is the number of customers above which idle ones are dropped.
 const sweepSize = 1024
 
@@ -38,14 +46,14 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.tickets) }
 
-// Push adds a request. Those that are ahead, having run stages already, come
-// before all others.
-func (q *Queue) Push(customer string, share int, ahead bool, value any) *Ticket {
+// Push adds a request that takes the given time to serve. Those that are ahead,
+// having run stages already, come before all others.
+func (q *Queue) Push(customer string, share int, cost time.Duration, ahead bool, value any) *Ticket {
 	start := max(q.now, q.last[customer])
-	finish := start + 1/float64(max(share, 1))
+	finish := start + max(cost, leastCost).Seconds()/float64(max(share, 1))
 	q.last[customer] = finish
 	q.order++
-	t := &Ticket{Value: value, ahead: ahead, finish: finish, order: q.order}
+	t := &Ticket{Value: value, ahead: ahead, start: start, finish: finish, order: q.order}
 	heap.Push(&q.tickets, t)
 	return t
 }
@@ -64,9 +72,7 @@
 		return nil
 	}
 	t := heap.Pop(&q.tickets).(*Ticket)
-	if !t.ahead {
-		q.now = max(q.now, t.finish)
-	}
+	q.now = max(q.now, t.start)
 	q.sweep()
 	return t
 }
--- a/core/shares/shares_test.go
+++ b/core/shares/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -13,8 +14,8 @@
 	c := qt.New(t)
 	q := shares.New()
 	for range 100 {
-		q.Push("light", 1, false, "light")
-		q.Push("heavy", 3, false, "heavy")
+		q.Push("light", 1, time.Second, false, "light")
+		q.Push("heavy", 3, time.Second, false, "heavy")
 	}
 	served := map[string]int{}
 	for range 80 {
@@ -23,11 +24,26 @@
 	c.Assert(served, qt.DeepEquals, map[string]int{"light": 20, "heavy": 60})
 }
 
+// Shares are of time: short requests are served more often than long ones.
+func TestSharesAreOfTime(t *testing.T) {
+	c := qt.New(t)
+	q := shares.New()
+	for range 100 {
+		q.Push("short", 1, time.Second, false, "short")
+		q.Push("long", 1, 4*time.Second, false, "long")
+	}
+	served := map[string]int{}
+	for range 50 {
+		served[q.Pop().Value.(string)]++
+	}
+	c.Assert(served, qt.DeepEquals, map[string]int{"short": 40, "long": 10})
+}
+
 func TestLaterStagesGoFirst(t *testing.T) {
 	c := qt.New(t)
 	q := shares.New()
-	q.Push("a", 1, false, "first")
-	q.Push("b", 1, true, "later")
+	q.Push("a", 1, time.Second, false, "first")
+	q.Push("b", 1, time.Second, true, "later")
 	c.Assert(q.Pop().Value, qt.Equals, "later")
 }
 
@@ -39,12 +55,12 @@
 		heavy := rapid.IntRange(1, 100).Draw(t, "heavy")
 		share := rapid.IntRange(1, 10).Draw(t, "share")
 		for range heavy {
-			q.Push("heavy", share, false, "heavy")
+			q.Push("heavy", share, time.Second, false, "heavy")
 		}
 		for range rapid.IntRange(0, heavy).Draw(t, "served") {
 			q.Pop()
 		}
-		q.Push("light", 1, false, "light")
+		q.Push("light", 1, time.Second, false, "light")
 		for n := 0; ; n++ {
 			if q.Pop().Value == "light" {
 				if n > share+1 {
@@ -59,8 +75,8 @@
 func TestRemove(t *testing.T) {
 	c := qt.New(t)
 	q := shares.New()
-	a := q.Push("a", 1, false, "a")
-	q.Push("b", 1, false, "b")
+	a := q.Push("a", 1, time.Second, false, "a")
+	q.Push("b", 1, time.Second, false, "b")
 	q.Remove(a)
 	q.Remove(a)
 	c.Assert(q.Pop().Value, qt.Equals, "b")
