entry: Look up the agents of a stage once for its admission

Cause: absent and slots each gathered and copied the same candidates for every stage of every request; load's usage named a mix that was moved. Change: the options are gathered once and handed on. Behaviour is the same.

--- a/commands/load.go
+++ b/commands/load.go
@@ -39,7 +39,7 @@
 		Subcommands: []*ffcli.Command{newLoadCompare(deps)},
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
-				return sequoialead.ErrSettings.New("give one mix file, for example examples/whiskerlane/mix.ini")
+				return sequoialead.ErrSettings.New("give one mix file, for example examples/whiskerlane/mixes/steady.ini")
 			}
 			raw, err := os.ReadFile(args[0])
 			if err != nil {
@@ -74,10 +74,10 @@
 	if err != nil {
 		return err
 	}
-	if err := os.MkdirAll(filepath.Dir(l.out), 0o755); err != nil {
+	if err := os.MkdirAll(filepath.Dir(l.out), directoryMode); err != nil {
 		return err
 	}
-	if err := os.WriteFile(l.out, raw, 0o600); err != nil {
+	if err := os.WriteFile(l.out, raw, settingsMode); err != nil {
 		return err
 	}
 	picture, err := os.Create(l.out + ".svg")
--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -65,7 +65,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.absent(p)
+	return e.absent(p, e.routable(p))
 }
 
 // abandon ends a wait, and gives back a seat that was given at the last moment.
@@ -108,8 +108,8 @@
 
 // absent returns why no agent of the pool can take a call as things stand, or
 // an empty reason. Agents whose connection was lost just now count as present.
-func (e *Entry) absent(p *pool) sequoialead.Reason {
-	if len(e.routable(p)) > 0 {
+func (e *Entry) absent(p *pool, options []option) sequoialead.Reason {
+	if len(options) > 0 {
 		return ""
 	}
 	conf, _ := e.opts.Configuration.Current()
@@ -231,11 +231,11 @@
 	return index[p.router.Pick(candidates, w.prefix)]
 }
 
-// slots returns how many calls the pool's agents can run at once for this
-// entry: their limits less what other entries use of them. The caller holds mu.
-func (e *Entry) slots(p *pool) int {
+// slots returns how many calls a pool's agents can run at once for this entry:
+// their limits less what other entries use of them.
+func (p *pool) slots(options []option) int {
 	sum := 0
-	for _, o := range e.routable(p) {
+	for _, o := range options {
 		c := o.candidate
 		others := max(c.Load.Running+c.Load.Waiting-p.since[c.Name]-c.Open, 0)
 		sum += max(c.Load.Limit-others, 0)
--- a/core/entry/run.go
+++ b/core/entry/run.go
@@ -83,13 +83,16 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, s := range r.pipeline.Stages {
-		if reason := e.absent(e.pool(s.Pool)); reason != "" {
+	options := make([][]option, len(r.pipeline.Stages))
+	for i, s := range r.pipeline.Stages {
+		p := e.pool(s.Pool)
+		options[i] = e.routable(p)
+		if reason := e.absent(p, options[i]); reason != "" {
 			return reason
 		}
 	}
 	if conf.Policy.Early {
-		if reason := e.early(r, conf, now); reason != "" {
+		if reason := e.early(r, conf, options, now); reason != "" {
 			return reason
 		}
 	}
@@ -100,17 +103,18 @@
 	return ""
 }
 
-// early returns why a run would not end in time, or an empty reason.
-func (e *Entry) early(r *run, conf *config.Config, now time.Time) sequoialead.Reason {
+// early returns why a run would not end in time, or an empty reason. The options
+// are those of each stage.
+func (e *Entry) early(r *run, conf *config.Config, options [][]option, now time.Time) sequoialead.Reason {
 	var need, waits time.Duration
-	for _, s := range r.pipeline.Stages {
+	for i, s := range r.pipeline.Stages {
 		p := e.pool(s.Pool)
 		service := e.time(s.Name).Quantile(earlyQuantile, now)
 		need += service
 		if !conf.Policy.Fair {
 			service = p.serviceTime(now) // the wait is for everyone's requests
 		}
-		waits += e.book.Wait(s.Pool, r.customer.Name, e.weight(r.customer), max(e.slots(p), 1), service, conf.Policy.Fair)
+		waits += e.book.Wait(s.Pool, r.customer.Name, e.weight(r.customer), max(p.slots(options[i]), 1), service, conf.Policy.Fair)
 	}
 	left := r.deadline.Sub(now) - endMargin
 	switch {
--- a/core/shares/shares.go
+++ b/core/shares/shares.go
@@ -1,5 +1,6 @@
 // Package shares orders waiting requests so that each customer gets its
-// weight's share of the service time. Besides the queue it exports the tickets that it gives out.
+// weight's share of the service time. Besides the queue it exports the tickets
+// that it gives out.
 package shares
 
 import (
