agent: Send the answer to the latest copy of a call

An entry sends a call again over another connection when the first falls silent for 0.7 s. If the first copy reaches the agent after the second, as on a machine that stood still for a second, it took the answer over to a connection that the entry had closed. The answer was then nobody's: the entry waited on the second connection for good. Two things hid it: an ended job was dropped when half of its time was over (both sides of the comparison moved with the clock), so that a resumed call got an end without its chunks; and a cancel after the end was not answered. Ruled out: lost frames in the link (queue and lock read again), the queue of waiting stages, ejection, the retry budget; a slow machine alone (no request takes 10 s).

Change: a call counts its earlier sends and the answer follows the latest. A job lives as long as its entry in the table. A cancel after the end is answered with the end. The proxy can deliver late what was sent over connections that are closed meanwhile.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -273,6 +273,7 @@
 	defer a.mu.Unlock()
 	conf, _ := a.opts.Configuration.Current()
 	a.limit.Configure(limitOptions(conf, a.opts.Pool))
+	a.table.Expire(now)
 	for id, j := range a.jobs {
 		if j.orphaned(now) {
 			a.cancel(j, sequoialead.ReasonCancelled, now)
@@ -280,11 +281,10 @@
 		if j.item.State == calls.Waiting && now.After(j.item.Deadline) {
 			a.refuse(j, sequoialead.ReasonDeadline, now)
 		}
-		if j.settled(now) {
+		if a.table.Find(id) == nil {
 			delete(a.jobs, id)
 		}
 	}
-	a.table.Expire(now)
 	a.pump(now)
 }
 
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -261,6 +261,72 @@
 	c.Assert(b.backend.startedCount(), qt.Equals, 1)
 }
 
+// A copy of a call that was sent before the latest one, and arrives after it
+// over a connection that is lost, does not take the answer away.
+func TestLateCopyDoesNotTakeTheAnswer(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	lost, fresh := newSender(), newSender()
+	first := b.call()
+	again := first
+	again.Resends = 1
+	b.agent.Call(again, fresh)
+	id := b.await(c)
+	b.agent.Call(first, lost)
+	close(lost.gone)
+	b.backend.end(id, nil)
+	end, chunks := fresh.end(c, id)
+	c.Assert(end.Ending, qt.Equals, sequoialead.EndDone)
+	c.Assert(chunks, qt.Equals, 1)
+	c.Assert(b.backend.startedCount(), qt.Equals, 1)
+}
+
+// An ended call is kept whole until its deadline and the grace after it.
+func TestEndedCallIsKeptWhole(t *testing.T) {
+	tests := []struct {
+		desc   string
+		after  time.Duration
+		ending sequoialead.Ending
+		chunks int
+	}{
+		{desc: "before the deadline", after: 50 * time.Second, ending: sequoialead.EndDone, chunks: 1},
+		{desc: "within the grace", after: time.Minute + agent.EndGrace/2, ending: sequoialead.EndDone, chunks: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(c)
+			s := newSender()
+			call := b.call()
+			b.agent.Call(call, s)
+			id := b.await(c)
+			b.backend.end(id, nil)
+			s.end(c, id)
+			b.agent.Sweep(time.Now().Add(tt.after))
+			call.Resends = 1
+			b.agent.Call(call, s)
+			end, chunks := s.end(c, id)
+			c.Assert(end.Ending, qt.Equals, tt.ending)
+			c.Assert(chunks, qt.Equals, tt.chunks)
+		})
+	}
+}
+
+// A cancel that arrives after the call's end is answered with the end.
+func TestCancelAfterTheEnd(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	lost, fresh := newSender(), newSender()
+	call := b.call()
+	b.agent.Call(call, lost)
+	id := b.await(c)
+	b.backend.end(id, nil)
+	lost.end(c, id)
+	b.agent.Cancel(id, fresh)
+	end, _ := fresh.end(c, id)
+	c.Assert(end.Ending, qt.Equals, sequoialead.EndDone)
+}
+
 // A call that was started is never told as refused, and a non-idempotent one
 // runs to its end whoever cancels it.
 func TestCancelAfterStart(t *testing.T) {
--- a/core/agent/job.go
+++ b/core/agent/job.go
@@ -18,6 +18,8 @@
 	reason sequoialead.Reason
 	// attached is the delivery of the answer, if an entry is connected.
 	attached *delivery
+	// resends is that of the latest copy of the call.
+	resends uint32
 	// detached is when the last connection was lost; zero while one is there.
 	detached time.Time
 	ended    time.Time
@@ -39,11 +41,6 @@
 	return j.item.State == calls.Ended || j.item.State == calls.Barred
 }
 
-// settled reports whether the job is over and only the table's entry counts.
-func (j *job) settled(now time.Time) bool {
-	return j.over() && now.Sub(j.ended) > EndGrace+time.Until(j.item.Deadline)
-}
-
 func (j *job) wake() {
 	if j.attached != nil {
 		j.attached.wake()
@@ -69,16 +66,21 @@
 	}
 }
 
-// attach starts to deliver a job's answer over a connection, in place of any
-// earlier one.
-func (a *Agent) attach(j *job, to Sender, from uint32, credit int) {
+// attach starts to deliver a job's answer to where a copy of its call came
+// from, in place of any earlier one. A copy that was sent before the latest
+// changes nothing: its connection was given up by the entry.
+func (a *Agent) attach(j *job, copy sequoialead.Call, to Sender) {
+	if copy.Resends < j.resends {
+		return
+	}
+	j.resends = copy.Resends
 	if j.attached != nil {
 		close(j.attached.replaced)
 	}
 	d := &delivery{
 		to:       to,
-		next:     from,
-		credit:   credit,
+		next:     copy.From,
+		credit:   copy.Credit,
 		woken:    make(chan struct{}, 1),
 		replaced: make(chan struct{}),
 	}
--- a/core/agent/serve.go
+++ b/core/agent/serve.go
@@ -37,7 +37,7 @@
 	j := &job{item: item}
 	a.jobs[call.ID] = j
 	a.waiting = append(a.waiting, j)
-	a.attach(j, from, call.From, call.Credit)
+	a.attach(j, call, from)
 	a.pump(now)
 }
 
@@ -55,7 +55,7 @@
 func (a *Agent) again(item *calls.Item, call sequoialead.Call, from Sender) {
 	a.stats.Attached++
 	if j := a.jobs[call.ID]; j != nil {
-		a.attach(j, from, call.From, call.Credit)
+		a.attach(j, call, from)
 		return
 	}
 	end := item.End
@@ -63,6 +63,16 @@
 	a.post(from, frame.Frame{End: &frame.End{ID: call.ID, End: end}})
 }
 
+// tell sends a job's end to an entry that its answer is not delivered to.
+func (a *Agent) tell(j *job, to Sender) {
+	if !j.over() || j.attached != nil && j.attached.to == to {
+		return
+	}
+	end := j.item.End
+	end.Load = a.load()
+	a.post(to, frame.Frame{End: &frame.End{ID: j.item.Call.ID, End: end}})
+}
+
 // bar refuses a call and makes sure that no later copy of it runs.
 func (a *Agent) bar(id sequoialead.CallID, from Sender, reason sequoialead.Reason, now time.Time) {
 	if _, ok := a.table.Bar(id, reason, now); !ok {
@@ -93,6 +103,7 @@
 	defer a.mu.Unlock()
 	if j := a.jobs[id]; j != nil {
 		a.cancel(j, sequoialead.ReasonCancelled, now)
+		a.tell(j, from)
 		return
 	}
 	item, barred := a.table.Bar(id, sequoialead.ReasonCancelled, now)
--- a/fake/proxy/proxy.go
+++ b/fake/proxy/proxy.go
@@ -53,6 +53,9 @@
 	mu sync.Mutex
 	// silent connections forward nothing for good, and stay open.
 	silent bool
+	// late is added to the delay of what the client sends. It is delivered
+	// also after the client has closed the connection.
+	late time.Duration
 }
 
 var _ sequoialead.Service = (*Proxy)(nil)
@@ -105,6 +108,18 @@
 	}
 }
 
+// Late holds up what clients send on the connections that are open now, and
+// delivers it also after they were closed. New connections are not concerned.
+func (p *Proxy) Late(by time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.mu.Lock()
+		c.late = by
+		c.mu.Unlock()
+	}
+}
+
 func (p *Proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -141,7 +156,6 @@
 		})
 	}
 	<-done
-	c.close()
 	<-done
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -168,6 +182,16 @@
 	return c, true
 }
 
+// lateness returns by how much what a side sends is late.
+func (c *pair) lateness(side net.Conn) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if side != c.client {
+		return 0
+	}
+	return c.late
+}
+
 func (c *pair) close() {
 	for _, conn := range []net.Conn{c.client, c.server} {
 		if tcp, ok := conn.(*net.TCPConn); ok {
@@ -224,7 +248,8 @@
 		for {
 			n, err := from.Read(buffer)
 			if n > 0 {
-				pieces <- piece{data: append([]byte(nil), buffer[:n]...), due: time.Now().Add(p.delay(c))}
+				wait := p.delay(c) + c.lateness(from)
+				pieces <- piece{data: append([]byte(nil), buffer[:n]...), due: time.Now().Add(wait)}
 			}
 			if err != nil {
 				return nil // told by the closed channel
@@ -240,7 +265,9 @@
 			break
 		}
 	}
-	c.close()
+	if c.lateness(to) == 0 {
+		c.close()
+	}
 	drain(pieces)
 }
 
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -19,7 +19,7 @@
 	linked *link.Link
 	// sends counts how often the call was sent; more than one means that it
 	// was resumed.
-	sends int
+	sends uint32
 	// owed is the number of bytes taken whose credit was not given back.
 	owed int
 
@@ -191,6 +191,7 @@
 	c.mu.Unlock()
 	call.Credit = WindowBytes
 	call.Version = version
+	call.Resends = c.sends - 1
 	return &call
 }
 
--- a/sequoialead.go
+++ b/sequoialead.go
@@ -67,6 +67,9 @@
 	Credit int `cbor:"11,keyasint"`
 	// Version is the configuration that the entry goes by.
 	Version Version `cbor:"12,keyasint,omitempty"`
+	// Resends counts the earlier times that the call was sent. Its answer goes
+	// to where the latest copy came from.
+	Resends uint32 `cbor:"13,keyasint,omitempty"`
 }
 
 // Chunk is one piece of a call's answer.
--- a/testscripts/vocabulary_test.go
+++ b/testscripts/vocabulary_test.go
@@ -32,7 +32,8 @@
 		"refuse":    links(proxy.Fault{Refuse: true}),
 		"delay":     links(proxy.Fault{Delay: 20 * time.Millisecond, Odd: true}),
 		"heal":      links(proxy.Fault{}),
-		"silence":   cmdSilence,
+		"silence":   open((*proxy.Proxy).Silence),
+		"late":      open(func(p *proxy.Proxy) { p.Late(lateBy) }),
 		"cold":      backends(func(f *fleet, name string) error { return f.backendFault(name, fakeengine.Fault{Cold: true}) }),
 		"fail":      backends(func(f *fleet, name string) error { return f.backendFault(name, fakeengine.Fault{Fail: true}) }),
 		"slow":      backends(func(f *fleet, name string) error { return f.backendFault(name, fakeengine.Fault{Slow: 10}) }),
@@ -96,26 +97,25 @@
 }
 
 func links(fault proxy.Fault) command {
+	return open(func(p *proxy.Proxy) { p.Fail(fault) })
+}
+
+// lateBy is longer than a connection may be silent before its calls are sent
+// again over another.
+const lateBy = 1500 * time.Millisecond
+
+// open does something to links and the connections that are open on them.
+func open(do func(*proxy.Proxy)) command {
 	return each(func(f *fleet, name string) error {
 		p := f.proxies[name]
 		if p == nil {
 			return fmt.Errorf("no link %q", name)
 		}
-		p.Fail(fault)
+		do(p)
 		return nil
 	})
 }
 
-func cmdSilence(_ *testscript.TestScript, f *fleet, args []string) error {
-	for _, name := range args {
-		if f.proxies[name] == nil {
-			return fmt.Errorf("no link %q", name)
-		}
-		f.proxies[name].Silence()
-	}
-	return nil
-}
-
 // cmdFleet starts the fleet of fleet.ini and makes configuration.ini its first
 // version, or does so with the example of the name given.
 func cmdFleet(ts *testscript.TestScript, f *fleet, args []string) error {
