report: Tell for each customer and pipeline why requests were missed

Cause: a load's table gave attainment by customer and reasons for the whole load, so that 0.3% missed by one customer could not be told apart from the 24,751 refusals of the greedy one.

Change: each line of a report counts its missed requests by reason, in the table and in JSON.

--- a/core/report/report.go
+++ b/core/report/report.go
@@ -35,6 +35,17 @@
 	return s.Outcome == sequoialead.OutcomeDone && s.Took <= s.Deadline
 }
 
+// missed returns why a request was not answered in time.
+func (s Sample) missed() sequoialead.Reason {
+	switch {
+	case s.Outcome == sequoialead.OutcomeDone:
+		return reasonLate
+	case s.Reason == "":
+		return sequoialead.Reason(s.Outcome)
+	}
+	return s.Reason
+}
+
 // Quantiles describes times.
 type Quantiles struct {
 	P50  time.Duration `json:"p50"`
@@ -47,6 +58,24 @@
 type Line struct {
 	Sent   int `json:"sent"`
 	InTime int `json:"in_time"`
+	// Missed counts the requests not answered in time by reason.
+	Missed map[sequoialead.Reason]int `json:"missed,omitempty"`
+}
+
+// reasonLate is that of a whole answer that came after the deadline.
+const reasonLate sequoialead.Reason = "late"
+
+// count adds a request.
+func (l *Line) count(s Sample) {
+	l.Sent++
+	if s.inTime() {
+		l.InTime++
+		return
+	}
+	if l.Missed == nil {
+		l.Missed = map[sequoialead.Reason]int{}
+	}
+	l.Missed[s.missed()]++
 }
 
 // Attainment is the share of the requests that were answered in time.
@@ -62,8 +91,8 @@
 	Name      string                      `json:"name"`
 	Time      time.Duration               `json:"time"`
 	All       Line                        `json:"all"`
-	Pipelines map[string]Line             `json:"pipelines"`
-	Customers map[string]Line             `json:"customers"`
+	Pipelines map[string]*Line            `json:"pipelines"`
+	Customers map[string]*Line            `json:"customers"`
 	Outcomes  map[sequoialead.Outcome]int `json:"outcomes"`
 	Reasons   map[sequoialead.Reason]int  `json:"reasons"`
 	Done      Quantiles                   `json:"done"`
@@ -106,8 +135,8 @@
 	r := &Report{
 		Name:      name,
 		Time:      length,
-		Pipelines: map[string]Line{},
-		Customers: map[string]Line{},
+		Pipelines: map[string]*Line{},
+		Customers: map[string]*Line{},
 		Outcomes:  map[sequoialead.Outcome]int{},
 		Reasons:   map[sequoialead.Reason]int{},
 		Seconds:   make([]Line, int(length/time.Second)+1),
@@ -134,16 +163,11 @@
 }
 
 func (r *Report) add(s Sample) {
-	in := 0
-	if s.inTime() {
-		in = 1
-	}
-	count := func(l Line) Line { return Line{Sent: l.Sent + 1, InTime: l.InTime + in} }
-	r.All = count(r.All)
-	r.Pipelines[s.Pipeline] = count(r.Pipelines[s.Pipeline])
-	r.Customers[s.Customer] = count(r.Customers[s.Customer])
+	r.All.count(s)
+	line(r.Pipelines, s.Pipeline).count(s)
+	line(r.Customers, s.Customer).count(s)
 	if i := int(s.At / time.Second); i < len(r.Seconds) {
-		r.Seconds[i] = count(r.Seconds[i])
+		r.Seconds[i].count(s)
 	}
 	r.Outcomes[s.Outcome]++
 	if s.Reason != "" {
@@ -152,6 +176,13 @@
 	r.Tokens += s.Tokens
 }
 
+func line(lines map[string]*Line, name string) *Line {
+	if lines[name] == nil {
+		lines[name] = &Line{}
+	}
+	return lines[name]
+}
+
 // Worst returns the lowest attainment of any second in which enough requests
 // arrived to tell.
 func (r *Report) Worst() float64 {
--- a/core/report/table.go
+++ b/core/report/table.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"sequoialead"
@@ -50,8 +51,8 @@
 		tokens, service := r.Waste()
 		return percent(tokens) + " " + percent(service)
 	})
-	t.lines("pipeline ", func(r *Report) map[string]Line { return r.Pipelines })
-	t.lines("customer ", func(r *Report) map[string]Line { return r.Customers })
+	t.lines("pipeline ", func(r *Report) map[string]*Line { return r.Pipelines })
+	t.lines("customer ", func(r *Report) map[string]*Line { return r.Customers })
 	t.reasons()
 	t.costs()
 	return t.rows
@@ -64,7 +65,7 @@
 	})
 }
 
-func (t *rows) lines(prefix string, of func(*Report) map[string]Line) {
+func (t *rows) lines(prefix string, of func(*Report) map[string]*Line) {
 	names := map[string]bool{}
 	for _, r := range t.reports {
 		for name := range of(r) {
@@ -72,8 +73,22 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(names)) {
-		t.add(prefix+name+" in time", func(r *Report) string { return percent(of(r)[name].Attainment()) })
+		t.add(prefix+name+" in time", func(r *Report) string {
+			if l := of(r)[name]; l != nil {
+				return percent(l.Attainment()) + l.reasons()
+			}
+			return "-"
+		})
+	}
+}
+
+// reasons lists the reasons for which requests were not answered in time.
+func (l *Line) reasons() string {
+	var text strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(l.Missed)) {
+		fmt.Fprintf(&text, " %s=%d", name, l.Missed[name])
 	}
+	return text.String()
 }
 
 func (t *rows) reasons() {
