parts: Divide an agent's limit between the entries

A trace of the estimates: two of four entries held 21 of 144 drafting slots, where a quarter is 36. A free slot shows first in the reply to the call that left it, so the entry that had it takes it again.

Change: an agent tells each entry its part, the limit divided by the entries with calls there. An entry may fill its part also while the limit is used up. The waiting call of the entry with the fewest running runs next. Only with 'fair'. Entries name themselves when they connect.

--- a/commands/build.go
+++ b/commands/build.go
@@ -110,6 +110,7 @@
 		Dial: func(i sequoialead.Instance) sequoialead.Peer {
 			log.Info("dial", "agent", i.Name, "addr", i.Addr)
 			return ioagent.New(ioagent.Options{
+				Name:          s.name,
 				Addr:          i.Addr,
 				Sealer:        sealer,
 				Configuration: follower,
--- a/commands/metrics.go
+++ b/commands/metrics.go
@@ -47,7 +47,7 @@
 }
 
 func gaugeAgent(set *metrics.Set, agent *coreagent.Agent) {
-	load, stats := agent.Load(), agent.Stats()
+	load, stats := agent.Load(""), agent.Stats()
 	for name, n := range map[string]uint64{
 		"sequoialead_agent_limit":           uint64(load.Limit),
 		"sequoialead_agent_running":         uint64(load.Running),
--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -16,6 +16,7 @@
 	"sequoialead/core/config"
 	"sequoialead/core/frame"
 	"sequoialead/core/limit"
+	"sequoialead/core/parts"
 )
 
 // Periods and bounds of an agent's work.
@@ -42,6 +43,8 @@
 
 // Sender sends messages to one entry.
 type Sender interface {
+	// Peer names the entry.
+	Peer() string
 	// Send queues a message. It blocks while the connection's queue is full.
 	Send(f frame.Frame) error
 	// Gone is closed once the connection is.
@@ -72,6 +75,7 @@
 	mu    sync.Mutex
 	table *calls.Table
 	limit *limit.Limit
+	parts *parts.Parts
 	jobs  map[sequoialead.CallID]*job
 	// waiting holds the admitted calls in the order of their arrival.
 	waiting []*job
@@ -103,6 +107,7 @@
 		opts:        opts,
 		incarnation: uuid.New(),
 		probeNow:    make(chan struct{}, 1),
+		parts:       parts.New(),
 		jobs:        map[sequoialead.CallID]*job{},
 		table: calls.New(calls.Options{
 			Calls: opts.Calls,
@@ -185,8 +190,8 @@
 	return a.opts.Backend.Close()
 }
 
-// Hello returns what the agent says of itself.
-func (a *Agent) Hello() sequoialead.Hello {
+// Hello returns what the agent says of itself to an entry.
+func (a *Agent) Hello(entry string) sequoialead.Hello {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return sequoialead.Hello{
@@ -195,20 +200,25 @@
 		Domain:      a.opts.Domain,
 		Region:      a.opts.Region,
 		Incarnation: a.incarnation,
-		Load:        a.load(),
+		Load:        a.load(entry),
 	}
 }
 
-// Load returns the latest load.
-func (a *Agent) Load() sequoialead.Load {
+// Load returns the latest load with an entry's part of the limit.
+func (a *Agent) Load(entry string) sequoialead.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.load()
+	return a.load(entry)
 }
 
-func (a *Agent) load() sequoialead.Load {
-	_, version := a.opts.Configuration.Current()
+func (a *Agent) load(entry string) sequoialead.Load {
+	conf, version := a.opts.Configuration.Current()
+	part := 0
+	if conf.Policy.Fair {
+		part = a.parts.Part(entry, a.limit.Limit())
+	}
 	return sequoialead.Load{
+		Part:    part,
 		Limit:   a.limit.Limit(),
 		Running: a.limit.Running(),
 		Waiting: len(a.waiting),
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -95,6 +95,8 @@
 	return nil
 }
 
+func (s *sender) Peer() string { return "e" }
+
 func (s *sender) Gone() <-chan struct{} { return s.gone }
 
 // end returns the end of a call, and the chunks before it.
@@ -166,7 +168,7 @@
 	b.next++
 	return sequoialead.Call{
 		ID:          sequoialead.CallID{Request: uuid.UUID{b.next}},
-		Incarnation: b.agent.Hello().Incarnation,
+		Incarnation: b.agent.Hello("e").Incarnation,
 		Pool:        "p",
 		Op:          sequoialead.OpInvoke,
 		Left:        time.Minute,
@@ -389,7 +391,7 @@
 		b.backend.end(id, nil)
 		s.end(c, id)
 	}
-	c.Assert(b.agent.Load().Limit, qt.Equals, 8)
+	c.Assert(b.agent.Load("e").Limit, qt.Equals, 8)
 	b.backend.mu.Lock()
 	b.backend.boot = sequoialead.Boot{ID: "b"}
 	b.backend.mu.Unlock()
@@ -399,10 +401,10 @@
 	}
 	b.await(c)
 	b.await(c)
-	for end := time.Now().Add(patience); b.agent.Load().Limit != 2 && time.Now().Before(end); {
+	for end := time.Now().Add(patience); b.agent.Load("e").Limit != 2 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	c.Assert(b.agent.Load().Limit, qt.Equals, 2)
+	c.Assert(b.agent.Load("e").Limit, qt.Equals, 2)
 	c.Assert(b.backend.startedCount()-before, qt.Equals, 2)
 }
 
@@ -436,5 +438,5 @@
 	b.conf.set(func(f *config.Config) { f.Out = map[string]bool{"d": true} })
 	end, _ := s.end(c, waiting.ID)
 	c.Assert(end.Reason, qt.Equals, sequoialead.ReasonDomain)
-	c.Assert(b.agent.Load().Running, qt.Equals, 2)
+	c.Assert(b.agent.Load("e").Running, qt.Equals, 2)
 }
--- a/core/agent/job.go
+++ b/core/agent/job.go
@@ -12,6 +12,8 @@
 // job is a call of the table with what serves it.
 type job struct {
 	item *calls.Item
+	// entry is the one that the call came from first.
+	entry string
 	// cancel stops the call at the backend server; nil while it waits.
 	cancel context.CancelFunc
 	// reason is why the call was cancelled.
@@ -143,7 +145,7 @@
 		return batch, false
 	}
 	end := j.item.End
-	end.Load = a.load()
+	end.Load = a.load(d.to.Peer())
 	batch = append(batch, frame.Frame{End: &frame.End{ID: id, End: end}})
 	return batch, true
 }
--- a/core/agent/run.go
+++ b/core/agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -13,26 +14,42 @@
 
 // pump starts waiting calls as far as the limit allows.
 func (a *Agent) pump(now time.Time) {
-	for len(a.waiting) > 0 {
-		j := a.waiting[0]
+	a.prune(now)
+	for len(a.waiting) > 0 && a.limit.Room() {
+		if !a.limit.Sure() {
+			a.wakeProbe()
+			return
+		}
+		a.start(a.next(), now)
+	}
+}
+
+// prune refuses the waiting calls that must not start any more.
+func (a *Agent) prune(now time.Time) {
+	var left []*job
+	for _, j := range a.waiting {
 		if j.item.State != calls.Waiting {
-			a.waiting = a.waiting[1:]
 			continue
 		}
 		if reason := a.unfit(j, now); reason != "" {
 			a.refuse(j, reason, now)
 			continue
 		}
-		if !a.limit.Room() {
-			return
-		}
-		if !a.limit.Sure() {
-			a.wakeProbe()
-			return
-		}
-		a.waiting = a.waiting[1:]
-		a.start(j, now)
+		left = append(left, j)
+	}
+	a.waiting = left
+}
+
+// next takes out the waiting call that is to run next.
+func (a *Agent) next() *job {
+	entries := make([]string, 0, len(a.waiting))
+	for _, j := range a.waiting {
+		entries = append(entries, j.entry)
 	}
+	i := a.parts.Next(entries)
+	j := a.waiting[i]
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	return j
 }
 
 func (a *Agent) unfit(j *job, now time.Time) sequoialead.Reason {
@@ -48,6 +65,7 @@
 		return
 	}
 	a.stats.Refused++
+	a.parts.Refuse(j.entry)
 	j.ended = now
 	j.wake()
 }
@@ -73,6 +91,7 @@
 	boot := a.limit.Boot()
 	a.table.Start(j.item)
 	a.stats.Started++
+	a.parts.Start(j.entry)
 	call := j.item.Call
 	a.tomb.Go(func() error {
 		defer cancel()
@@ -119,6 +138,7 @@
 		end.Ending = sequoialead.EndDone
 	}
 	end.Service = service
+	a.parts.Finish(j.entry)
 	a.limit.Done(ticket, end.Ending == sequoialead.EndDone, service)
 	a.count(end)
 	a.table.Finish(j.item, end, now)
--- a/core/agent/serve.go
+++ b/core/agent/serve.go
@@ -25,7 +25,7 @@
 		a.bar(call.ID, from, reason, now)
 		return
 	}
-	if reason := a.room(); reason != "" {
+	if reason := a.room(from.Peer()); reason != "" {
 		a.bar(call.ID, from, reason, now)
 		return
 	}
@@ -34,16 +34,21 @@
 		a.bar(call.ID, from, sequoialead.ReasonMemory, now)
 		return
 	}
-	j := &job{item: item}
+	j := &job{item: item, entry: from.Peer()}
+	a.parts.Admit(j.entry)
 	a.jobs[call.ID] = j
 	a.waiting = append(a.waiting, j)
 	a.attach(j, call, from)
 	a.pump(now)
 }
 
-// room returns why one more call cannot be admitted, or an empty reason.
-func (a *Agent) room() sequoialead.Reason {
+// room returns why one more call of an entry cannot be admitted, or an empty
+// reason.
+func (a *Agent) room(entry string) sequoialead.Reason {
 	conf, _ := a.opts.Configuration.Current()
+	if conf.Policy.Fair && a.parts.Within(entry, a.limit.Limit()) {
+		return ""
+	}
 	free := max(a.limit.Limit()-a.limit.Running(), 0)
 	if len(a.waiting) >= free+conf.Pools[a.opts.Pool].Queue {
 		return sequoialead.ReasonFull
@@ -59,7 +64,7 @@
 		return
 	}
 	end := item.End
-	end.Load = a.load()
+	end.Load = a.load(from.Peer())
 	a.post(from, frame.Frame{End: &frame.End{ID: call.ID, End: end}})
 }
 
@@ -69,7 +74,7 @@
 		return
 	}
 	end := j.item.End
-	end.Load = a.load()
+	end.Load = a.load(to.Peer())
 	a.post(to, frame.Frame{End: &frame.End{ID: j.item.Call.ID, End: end}})
 }
 
@@ -84,7 +89,7 @@
 // answer says that a call was not started.
 func (a *Agent) answer(id sequoialead.CallID, from Sender, reason sequoialead.Reason) {
 	a.stats.Refused++
-	end := sequoialead.End{Ending: sequoialead.EndRefused, Reason: reason, Load: a.load()}
+	end := sequoialead.End{Ending: sequoialead.EndRefused, Reason: reason, Load: a.load(from.Peer())}
 	a.post(from, frame.Frame{End: &frame.End{ID: id, End: end}})
 }
 
@@ -111,7 +116,7 @@
 		a.answer(id, from, item.End.Reason)
 		return
 	}
-	end := sequoialead.End{Ending: sequoialead.EndLost, Reason: sequoialead.ReasonMemory, Load: a.load()}
+	end := sequoialead.End{Ending: sequoialead.EndLost, Reason: sequoialead.ReasonMemory, Load: a.load(from.Peer())}
 	a.post(from, frame.Frame{End: &frame.End{ID: id, End: end}})
 }
 
--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -159,26 +159,24 @@
 	if p.queue.Len() == 0 {
 		return
 	}
-	options := e.roomy(p, now)
-	for len(options) > 0 {
+	options := e.kept(p, now)
+	for {
 		ticket := p.queue.Peek()
-		if ticket == nil {
+		open := roomy(options)
+		if ticket == nil || len(open) == 0 {
 			return
 		}
 		w := ticket.Value.(*waiter)
-		chosen := e.choose(p, options, w)
+		chosen := open[e.choose(p, open, w)]
 		p.queue.Pop()
-		e.take(p, options, chosen)
-		w.given <- options[chosen].peer
-		if !room(options[chosen].candidate) {
-			options = append(options[:chosen], options[chosen+1:]...)
-		}
+		e.take(p, chosen)
+		w.given <- chosen.peer
 	}
 }
 
 // take counts a call that is about to be sent to an option.
-func (e *Entry) take(p *pool, options []option, chosen int) {
-	c := &options[chosen].candidate
+func (e *Entry) take(p *pool, o *option) {
+	c := &o.candidate
 	p.open[c.Name]++
 	p.since[c.Name]++
 	p.ejector.Probe(c.Name)
@@ -186,10 +184,26 @@
 	c.Load.Waiting++
 }
 
-func room(c sequoialead.Candidate) bool { return c.Busy() < 1 }
+// roomy returns the options with room or, if there are none, those where this
+// entry holds less than its part.
+func roomy(options []*option) []*option {
+	var room, within []*option
+	for _, o := range options {
+		switch {
+		case o.candidate.Room():
+			room = append(room, o)
+		case o.candidate.Within():
+			within = append(within, o)
+		}
+	}
+	if len(room) > 0 {
+		return room
+	}
+	return within
+}
 
-// roomy returns the routable agents with room, less the ejected ones.
-func (e *Entry) roomy(p *pool, now time.Time) []option {
+// kept returns the routable agents less the ejected ones.
+func (e *Entry) kept(p *pool, now time.Time) []*option {
 	conf, _ := e.opts.Configuration.Current()
 	options := e.routable(p)
 	names := make([]string, 0, len(options))
@@ -197,18 +211,17 @@
 		names = append(names, o.candidate.Name)
 	}
 	keep := p.ejector.Keep(names, now)
-	var roomy []option
-	for _, o := range options {
-		ejected := conf.Policy.Eject && !keep[o.candidate.Name]
-		if !ejected && room(o.candidate) {
-			roomy = append(roomy, o)
+	var kept []*option
+	for i, o := range options {
+		if !conf.Policy.Eject || keep[o.candidate.Name] {
+			kept = append(kept, &options[i])
 		}
 	}
-	return roomy
+	return kept
 }
 
 // choose returns the index of the option for a waiting stage.
-func (e *Entry) choose(p *pool, options []option, w *waiter) int {
+func (e *Entry) choose(p *pool, options []*option, w *waiter) int {
 	conf, _ := e.opts.Configuration.Current()
 	if p.router == nil || p.policy != conf.Policy.Router {
 		p.policy = conf.Policy.Router
@@ -232,13 +245,13 @@
 }
 
 // slots returns how many calls a pool's agents can run at once for this entry:
-// their limits less what other entries use of them.
+// their limits less what other entries use of them, and its parts at least.
 func (p *pool) slots(options []option) int {
 	sum := 0
 	for _, o := range options {
 		c := o.candidate
 		others := max(c.Load.Running+c.Load.Waiting-p.since[c.Name]-c.Open, 0)
-		sum += max(c.Load.Limit-others, 0)
+		sum += max(c.Load.Limit-others, c.Load.Part)
 	}
 	return sum
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -46,6 +46,8 @@
 
 // Options configures a peer.
 type Options struct {
+	// Name is that of this entry.
+	Name          string
 	Addr          netip.AddrPort
 	Links         int
 	Sealer        *seal.Sealer
@@ -181,6 +183,7 @@
 	dialer := websocket.Dialer{HandshakeTimeout: DialTimeout, ReadBufferSize: link.BatchBytes, WriteBufferSize: link.BatchBytes}
 	header := http.Header{}
 	header.Set(entry.HeaderKey, entry.Proof(p.opts.Sealer.Seal(entry.Purpose, nil)))
+	header.Set(entry.HeaderName, p.opts.Name)
 	conn, response, err := dialer.DialContext(ctx, "ws://"+p.opts.Addr.String()+entry.Path, header)
 	if err != nil {
 		return // tried again by maintain
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -26,6 +26,9 @@
 // HeaderKey carries the proof that the peer belongs to the fleet.
 const HeaderKey = "Sequoialead-Fleet"
 
+// HeaderName names the entry.
+const HeaderName = "Sequoialead-Entry"
+
 // Purpose is the purpose of the seal in HeaderKey.
 const Purpose = "link"
 
@@ -84,9 +87,8 @@
 		links = append(links, l)
 	}
 	s.mu.Unlock()
-	load := s.opts.Agent.Load()
 	for _, l := range links {
-		_ = l.Send(frame.Frame{Pong: &frame.Pong{Load: load}}) // a lost link is noticed by its reader
+		_ = l.Send(frame.Frame{Pong: &frame.Pong{Load: s.opts.Agent.Load(l.Peer())}}) // a lost link is noticed by its reader
 	}
 }
 
@@ -114,20 +116,20 @@
 	if err != nil {
 		return // Upgrade has answered
 	}
-	s.serve(conn)
+	s.serve(conn, r.Header.Get(HeaderName))
 }
 
-func (s *Server) serve(conn *websocket.Conn) {
+func (s *Server) serve(conn *websocket.Conn, entry string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.links == nil {
 		_ = conn.Close() // the server is closing
 		return
 	}
-	l := link.New(link.Options{Conn: conn, Handle: s.handle, Silence: s.opts.Silence})
+	l := link.New(link.Options{Conn: conn, Peer: entry, Handle: s.handle, Silence: s.opts.Silence})
 	s.links[l] = struct{}{}
 	s.tomb.Go(func() error {
-		hello := frame.Hello{Protocol: frame.Protocol, Agent: s.opts.Agent.Hello()}
+		hello := frame.Hello{Protocol: frame.Protocol, Agent: s.opts.Agent.Hello(entry)}
 		if l.Send(frame.Frame{Hello: &hello}) == nil {
 			<-l.Gone()
 		}
@@ -159,7 +161,7 @@
 			l.Drop(err)
 			return
 		}
-		l.Post(frame.Frame{Pong: &frame.Pong{Load: s.opts.Agent.Load()}})
+		l.Post(frame.Frame{Pong: &frame.Pong{Load: s.opts.Agent.Load(l.Peer())}})
 	}
 }
 
@@ -167,7 +169,7 @@
 	if p.Leaving {
 		s.opts.Agent.Hint()
 	}
-	load := s.opts.Agent.Load()
+	load := s.opts.Agent.Load(l.Peer())
 	l.Post(frame.Frame{Pong: &frame.Pong{Load: load}})
 	s.compare(l, p.Version, load.Version)
 }
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -28,6 +28,8 @@
 // Options configures a link.
 type Options struct {
 	Conn *websocket.Conn
+	// Peer names the process at the other end, if it is known.
+	Peer string
 	// Handle takes each frame in order. It must not block, and sends with Post.
 	Handle func(*Link, frame.Frame)
 	// Silence is how long the connection may bring nothing before it is closed.
@@ -92,6 +94,9 @@
 	})
 }
 
+// Peer names the process at the other end, if it is known.
+func (l *Link) Peer() string { return l.opts.Peer }
+
 // Gone is closed once the link is.
 func (l *Link) Gone() <-chan struct{} { return l.tomb.Dying() }
 
--- a/sequoialead.go
+++ b/sequoialead.go
@@ -123,6 +123,9 @@
 	Leaving bool `cbor:"4,keyasint,omitempty"`
 	// Version is the configuration that the agent goes by.
 	Version Version `cbor:"5,keyasint"`
+	// Part is the number of calls that the entry may hold there also while the
+	// limit is used up; 0 if entries are not told apart.
+	Part int `cbor:"6,keyasint,omitempty"`
 }
 
 // Boot identifies one life of a backend server.
@@ -231,6 +234,12 @@
 	return float64(used) / float64(limit)
 }
 
+// Room reports whether the limit, from what is known here, is not used up.
+func (c Candidate) Room() bool { return c.Busy() < 1 }
+
+// Within reports whether this entry holds less than its part.
+func (c Candidate) Within() bool { return c.Open < c.Load.Part }
+
 // Router chooses among candidates.
 type Router interface {
 	// Pick returns the index of the chosen candidate. The prefix is the start
