agent: Leave calls given up to a server that warms up to end there

An agent that cancels a call uses its place at once, but the server notices the closed connection only later; until then the next call is one too many.

Change: while the server warms up a call given up, by its entry or its deadline, is not cancelled but left to end, for ten seconds at most. Its end is told at once; its place stays taken until the server is through with it.

Before: TestCancelledCallKeepsItsPlaceWhileCold fails in both cases (one call running where two occupy the server).

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -33,6 +33,9 @@
 	BarLife     = 15 * time.Second
 	BarsPerCall = 16
 	UnackedWait = 2 * time.Second
+	// HoldLife is how long a call that was given up may still run at a backend
+	// server that warms up.
+	HoldLife = 10 * time.Second
 )
 
 // Configuration is the configuration in force.
@@ -179,9 +182,6 @@
 func (a *Agent) Close() error {
 	a.mu.Lock()
 	a.leaving = true
-	for _, j := range a.jobs {
-		j.stop()
-	}
 	a.mu.Unlock()
 	a.tomb.Kill(nil)
 	if err := a.tomb.Wait(); err != nil {
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -329,6 +329,56 @@
 	c.Assert(end.Ending, qt.Equals, sequoialead.EndDone)
 }
 
+// The place of a cancelled call at a server that warms up is not used before
+// the server has ended the call, and the entry need not wait for that.
+func TestCancelledCallKeepsItsPlaceWhileCold(t *testing.T) {
+	tests := []struct {
+		desc   string
+		cancel func(b *bench, id sequoialead.CallID, s *sender)
+		left   time.Duration
+		ending sequoialead.Ending
+		reason sequoialead.Reason
+	}{
+		{
+			desc:   "cancelled",
+			cancel: func(b *bench, id sequoialead.CallID, s *sender) { b.agent.Cancel(id, s) },
+			left:   time.Minute,
+			ending: sequoialead.EndFailed,
+			reason: sequoialead.ReasonCancelled,
+		},
+		{
+			desc:   "deadline",
+			cancel: func(*bench, sequoialead.CallID, *sender) {},
+			left:   50 * time.Millisecond,
+			ending: sequoialead.EndLost,
+			reason: sequoialead.ReasonDeadline,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(c)
+			s := newSender()
+			call := b.call()
+			call.Left = tt.left
+			b.agent.Call(call, s)
+			id := b.await(c)
+			b.agent.Call(b.call(), s)
+			b.await(c)
+			tt.cancel(b, id, s)
+			end, _ := s.end(c, id)
+			c.Assert(end.Ending, qt.Equals, tt.ending)
+			c.Assert(end.Reason, qt.Equals, tt.reason)
+			c.Assert(b.agent.Load("e").Running, qt.Equals, 2)
+			b.agent.Call(b.call(), s)
+			c.Assert(b.agent.Load("e").Waiting, qt.Equals, 1)
+			b.backend.end(id, nil)
+			b.await(c)
+			c.Assert(b.backend.startedCount(), qt.Equals, 3)
+		})
+	}
+}
+
 // A call that was started is never told as refused, and a non-idempotent one
 // runs to its end whoever cancels it.
 func TestCancelAfterStart(t *testing.T) {
--- a/core/agent/job.go
+++ b/core/agent/job.go
@@ -16,6 +16,8 @@
 	entry string
 	// cancel stops the call at the backend server; nil while it waits.
 	cancel context.CancelFunc
+	// began is when the call was sent to the backend server.
+	began time.Time
 	// reason is why the call was cancelled.
 	reason sequoialead.Reason
 	// attached is the delivery of the answer, if an entry is connected.
@@ -27,12 +29,6 @@
 	ended    time.Time
 }
 
-func (j *job) stop() {
-	if j.cancel != nil {
-		j.cancel()
-	}
-}
-
 // orphaned reports whether nobody has waited for the answer for a while.
 func (j *job) orphaned(now time.Time) bool {
 	return !j.detached.IsZero() && now.Sub(j.detached) > OrphanTimeout
--- a/core/agent/run.go
+++ b/core/agent/run.go
@@ -79,24 +79,49 @@
 	case calls.Running:
 		if j.item.Call.Idempotent && j.reason == "" {
 			j.reason = reason
-			j.stop()
+			a.abandon(j, now)
 		}
 	}
 }
 
+// abandon gives up a running call. A server that warms up is left to end it,
+// because the place of a cancelled call is not free before the server has
+// noticed the cancel, and one call too many may bring it down.
+func (a *Agent) abandon(j *job, now time.Time) {
+	if !a.limit.Warming() {
+		j.cancel()
+		return
+	}
+	end := a.failure(j, sequoialead.ErrLost.New("the call was given up; its backend server warms up and was left to end it"))
+	a.conclude(j, end, now)
+	time.AfterFunc(HoldLife, j.cancel)
+}
+
+// expire gives up a call whose time is over.
+func (a *Agent) expire(j *job) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if j.item.State == calls.Running {
+		a.abandon(j, time.Now())
+	}
+}
+
 func (a *Agent) start(j *job, now time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), j.item.Deadline)
+	ctx, cancel := context.WithCancel(a.tomb.Context(context.Background()))
 	j.cancel = cancel
+	j.began = now
 	ticket := a.limit.Send(now)
 	boot := a.limit.Boot()
 	a.table.Start(j.item)
 	a.stats.Started++
 	a.parts.Start(j.entry)
 	call := j.item.Call
+	timer := time.AfterFunc(j.item.Deadline.Sub(now), func() { a.expire(j) })
 	a.tomb.Go(func() error {
 		defer cancel()
+		defer timer.Stop()
 		end, err := a.opts.Backend.Do(ctx, call, boot, &reply{agent: a, job: j})
-		a.finish(j, ticket, now, end, err)
+		a.finish(j, ticket, end, err)
 		return nil
 	})
 }
@@ -114,6 +139,9 @@
 func (r *reply) Chunk(data []byte) error {
 	r.agent.mu.Lock()
 	defer r.agent.mu.Unlock()
+	if r.job.over() {
+		return nil // given up
+	}
 	if !r.agent.table.Append(r.job.item, data) {
 		r.job.reason = sequoialead.ReasonMemory
 		return sequoialead.ErrFailed.New("the answer does not fit in memory; raise 'memory' in the agent's settings")
@@ -127,24 +155,30 @@
 // Flush does nothing: deliveries are woken by each chunk.
 func (r *reply) Flush() error { return nil }
 
-func (a *Agent) finish(j *job, ticket *limit.Ticket, began time.Time, end sequoialead.End, err error) {
+func (a *Agent) finish(j *job, ticket *limit.Ticket, end sequoialead.End, err error) {
 	now := time.Now()
-	service := now.Sub(began)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if err != nil {
-		end = a.failure(j, err)
-	} else {
-		end.Ending = sequoialead.EndDone
-	}
-	end.Service = service
 	a.parts.Finish(j.entry)
-	a.limit.Done(ticket, end.Ending == sequoialead.EndDone, service)
+	a.limit.Done(ticket, err == nil, now.Sub(j.began))
+	if !j.over() {
+		if err != nil {
+			end = a.failure(j, err)
+		} else {
+			end.Ending = sequoialead.EndDone
+		}
+		a.conclude(j, end, now)
+	}
+	a.pump(now)
+}
+
+// conclude ends a running call.
+func (a *Agent) conclude(j *job, end sequoialead.End, now time.Time) {
+	end.Service = now.Sub(j.began)
 	a.count(end)
 	a.table.Finish(j.item, end, now)
 	j.ended = now
 	j.wake()
-	a.pump(now)
 }
 
 // failure turns a backend server's error into a truthful end.
@@ -161,7 +195,7 @@
 		end.Ending = sequoialead.EndFailed
 	default:
 		end.Ending = sequoialead.EndLost
-		if time.Now().After(j.item.Deadline) {
+		if !time.Now().Before(j.item.Deadline) {
 			end.Reason = sequoialead.ReasonDeadline
 		} else {
 			a.suspect()
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -83,6 +83,9 @@
 // Limit returns the number of calls that may run at once.
 func (l *Limit) Limit() int { return l.limit }
 
+// Warming reports whether the backend server may bear less than its full load.
+func (l *Limit) Warming() bool { return l.limit < l.opts.Full }
+
 // Running returns the number of calls that run.
 func (l *Limit) Running() int { return l.running }
 
