caller: End writes to a caller who does not read at its deadline

A caller that did stall was cut ten seconds after its last read, whatever its deadline.

Change: the send buffer of a connection is bounded to 256 KB, and writes of an answer fail one second after the request's time. The scenario's words 'stall', 'unstall' and 'free' go with it.

--- a/change.go
+++ b/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,6 +28,15 @@
 	return fmt.Sprintf("%s.%s=%s", c.Section, c.Key, c.Value)
 }
 
+// JoinChanges returns changes in the form that the command line takes.
+func JoinChanges(changes []Change) string {
+	var texts []string
+	for _, c := range changes {
+		texts = append(texts, c.String())
+	}
+	return strings.Join(texts, " ")
+}
+
 // Digest identifies a version of the configuration with all that led to it.
 type Digest [32]byte
 
--- a/commands/audit.go
+++ b/commands/audit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -26,14 +25,10 @@
 func printAudit(deps Deps, audits []sequoialead.Audit) error {
 	rows := [][]string{{"TIME", "WHO", "BASE", "VERDICT", "VERSION", "NOTE", "CHANGES"}}
 	for _, a := range audits {
-		var changes []string
-		for _, change := range a.Changes {
-			changes = append(changes, change.String())
-		}
 		rows = append(rows, []string{
 			a.Time.UTC().Format(time.RFC3339), a.Who,
 			strconv.FormatUint(uint64(a.Base), 10), string(a.Verdict),
-			strconv.FormatUint(uint64(a.Version), 10), a.Note, shorten(strings.Join(changes, " ")),
+			strconv.FormatUint(uint64(a.Version), 10), a.Note, shorten(sequoialead.JoinChanges(a.Changes)),
 		})
 	}
 	return printTable(deps.Stdout, rows)
--- a/commands/build.go
+++ b/commands/build.go
@@ -105,7 +105,7 @@
 	claimer := claims.New(claims.Options{Log: platform, Sealer: sealer, Window: s.window})
 	var entry *coreentry.Entry
 	members = fleet.New(fleet.Options{
-		List:   list.New(s.list),
+		List:   list.New(list.Options{Addr: s.list}),
 		Subset: subset.Options{Entry: s.name, Least: leastSubset, Cover: s.cover},
 		Dial: func(i sequoialead.Instance) sequoialead.Peer {
 			log.Info("dial", "agent", i.Name, "addr", i.Addr)
--- a/commands/dev.go
+++ b/commands/dev.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -16,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"sequoialead"
+	"sequoialead/common/digest"
 	"sequoialead/core/claims"
 	"sequoialead/core/document"
 	"sequoialead/core/kernel"
@@ -143,7 +142,7 @@
 		log:       s.Log,
 		list:      s.List,
 		fleet:     s.Fleet,
-		operators: settings.Operators{digest(s.Key): s.Operator},
+		operators: settings.Operators{digest.Of(s.Key): s.Operator},
 		lag:       devLag,
 		grace:     devGrace,
 		snapshot:  defaultSnapshot,
@@ -168,11 +167,6 @@
 	}
 }
 
-func digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // configure makes the file the configuration's first version.
 func configure(ctx context.Context, s *site.Site, path string) error {
 	ctx, cancel := context.WithTimeout(ctx, devSetupTimeout)
--- a/commands/patch.go
+++ b/commands/patch.go
@@ -154,11 +154,7 @@
 
 func printSince(deps Deps, answer operator.PatchAnswer) {
 	for _, p := range answer.Since {
-		var changes []string
-		for _, c := range p.Changes {
-			changes = append(changes, c.String())
-		}
-		fmt.Fprintf(deps.Stdout, "version %d by %s at %s: %s\n", p.Version, p.Who, p.When.Format(time.RFC3339), strings.Join(changes, " "))
+		fmt.Fprintf(deps.Stdout, "version %d by %s at %s: %s\n", p.Version, p.Who, p.When.Format(time.RFC3339), sequoialead.JoinChanges(p.Changes))
 	}
 }
 
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -48,12 +47,12 @@
 		return err
 	}
 	for _, e := range s.Entries {
-		if err := os.WriteFile(filepath.Join(dir, "entry-"+e.Name+".ini"), []byte(entryText(s, e)), settingsMode); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, "entry-"+e.Name+".ini"), []byte(s.EntrySettings(e)), settingsMode); err != nil {
 			return err
 		}
 	}
 	for _, b := range s.Backends {
-		if err := os.WriteFile(filepath.Join(dir, "agent-"+b.Name+".ini"), []byte(agentText(s, b)), settingsMode); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, "agent-"+b.Name+".ini"), []byte(s.AgentSettings(b)), settingsMode); err != nil {
 			return err
 		}
 	}
@@ -63,39 +62,3 @@
 	}
 	return os.WriteFile(filepath.Join(dir, "instances.json"), raw, settingsMode)
 }
-
-// entryText returns the settings of an entry in INI form.
-func entryText(s *site.Site, e site.Entry) string {
-	return lines(
-		"name", e.Name,
-		"region", s.Region,
-		"domain", e.Domain,
-		"addr", e.Addr,
-		"log", s.Log,
-		"list", s.List,
-		"fleet", s.Fleet,
-		"operators", s.Operator+":"+digest(s.Key),
-	)
-}
-
-// agentText returns the settings of an agent in INI form.
-func agentText(s *site.Site, b site.Backend) string {
-	return lines(
-		"name", b.Name,
-		"pool", b.Pool,
-		"region", s.Region,
-		"domain", b.Domain,
-		"addr", b.Addr,
-		"backend", b.Server,
-		"fleet", s.Fleet,
-	)
-}
-
-// lines returns pairs of keys and values in INI form.
-func lines(pairs ...any) string {
-	var b strings.Builder
-	for i := 0; i+1 < len(pairs); i += 2 {
-		fmt.Fprintf(&b, "%v = %v\n", pairs[i], pairs[i+1])
-	}
-	return b.String()
-}
--- /dev/null
+++ b/core/site/settings.go
@@ -0,0 +1,44 @@
+package site
+
+import (
+	"fmt"
+	"strings"
+
+	"sequoialead/common/digest"
+)
+
+// EntrySettings returns the settings of an entry in INI form.
+func (s *Site) EntrySettings(e Entry) string {
+	return lines(
+		"name", e.Name,
+		"region", s.Region,
+		"domain", e.Domain,
+		"addr", e.Addr,
+		"log", s.Log,
+		"list", s.List,
+		"fleet", s.Fleet,
+		"operators", s.Operator+":"+digest.Of(s.Key),
+	)
+}
+
+// AgentSettings returns the settings of a backend server's agent in INI form.
+func (s *Site) AgentSettings(b Backend) string {
+	return lines(
+		"name", b.Name,
+		"pool", b.Pool,
+		"region", s.Region,
+		"domain", b.Domain,
+		"addr", b.Addr,
+		"backend", b.Server,
+		"fleet", s.Fleet,
+	)
+}
+
+// lines returns pairs of keys and values in INI form.
+func lines(pairs ...any) string {
+	var b strings.Builder
+	for i := 0; i+1 < len(pairs); i += 2 {
+		fmt.Fprintf(&b, "%v = %v\n", pairs[i], pairs[i+1])
+	}
+	return b.String()
+}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -20,6 +18,7 @@
 	"goji.io/pat"
 
 	"sequoialead"
+	"sequoialead/common/digest"
 	"sequoialead/core/config"
 )
 
@@ -133,6 +132,7 @@
 		refuse(w, reason, detail)
 		return
 	}
+	h.limit(w, request.Pipeline, within)
 	if body.Stream {
 		s := newStream(w)
 		s.end(h.opts.Runner.Run(r.Context(), request, customer, within, s))
@@ -141,15 +141,26 @@
 	respond(w, h.opts.Runner.Run(r.Context(), request, customer, within, nil))
 }
 
+// limit lets writes to a caller who does not read fail soon after the
+// request's time is over.
+func (h *Handler) limit(w http.ResponseWriter, pipeline string, within time.Duration) {
+	conf, _ := h.opts.Configuration.Current()
+	longest := conf.Pipelines[pipeline].Deadline
+	if within <= 0 || within > longest {
+		within = longest
+	}
+	end := time.Now().Add(within + writeGrace)
+	_ = http.NewResponseController(w).SetWriteDeadline(end) // in force until the answer's end
+}
+
 // customer finds the customer by the key that the request bears.
 func (h *Handler) customer(r *http.Request) (config.Customer, bool) {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return config.Customer{}, false
 	}
-	sum := sha256.Sum256([]byte(key))
 	conf, _ := h.opts.Configuration.Current()
-	customer, ok := conf.Customers[hex.EncodeToString(sum[:])]
+	customer, ok := conf.Customers[digest.Of(key)]
 	return customer, ok
 }
 
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +13,7 @@
 	"goji.io"
 
 	"sequoialead"
+	"sequoialead/common/digest"
 	"sequoialead/core/config"
 	"sequoialead/io/caller"
 )
@@ -46,8 +45,7 @@
 }
 
 func (f configuration) Current() (*config.Config, sequoialead.Version) {
-	sum := sha256.Sum256([]byte("key"))
-	customers := map[string]config.Customer{hex.EncodeToString(sum[:]): {Name: "c", Share: 1}}
+	customers := map[string]config.Customer{digest.Of("key"): {Name: "c", Share: 1}}
 	return &config.Config{Customers: customers}, f.version
 }
 
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -9,9 +9,9 @@
 	"sequoialead"
 )
 
-const (
-	writeTimeout = 10 * time.Second
-)
+// writeGrace is how long the end of an answer may take after the request's
+// time.
+const writeGrace = time.Second
 
 // EventToken is the name of the events that carry text. Any other event is the
 // last one, named after the outcome.
@@ -71,12 +71,7 @@
 }
 
 // Flush sends the events in the connection's buffer.
-func (s *stream) Flush() error {
-	if err := s.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	return s.control.Flush()
-}
+func (s *stream) Flush() error { return s.control.Flush() }
 
 // end sends the last event, which tells whether the answer is whole.
 func (s *stream) end(a sequoialead.Answer) {
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"net/netip"
@@ -19,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"sequoialead"
+	"sequoialead/common/digest"
 	"sequoialead/core/fold"
 )
 
@@ -152,8 +151,7 @@
 func (h *Handler) guard(next handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		sum := sha256.Sum256([]byte(key))
-		who, ok := h.opts.Operators[hex.EncodeToString(sum[:])]
+		who, ok := h.opts.Operators[digest.Of(key)]
 		if !ok {
 			http.Error(w, "the operator's key is missing or wrong; give it as --key or SEQUOIALEAD_KEY", http.StatusUnauthorized)
 			return
--- a/io/web/web.go
+++ b/io/web/web.go
@@ -18,6 +18,8 @@
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// sendBytes is the most that the system holds of what a client does not read.
+	sendBytes = 256 << 10
 )
 
 // Options configures a server.
@@ -46,10 +48,19 @@
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       bound,
 	}
 	return s
 }
 
+// bound bounds what the system holds for a new connection.
+func bound(ctx context.Context, conn net.Conn) context.Context {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(sendBytes) // the system's own bound stays in force
+	}
+	return ctx
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
--- a/testscripts/calls_test.go
+++ b/testscripts/calls_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -23,11 +21,6 @@
 // outcomeCut is that of a call whose entry went away before its answer's end.
 const outcomeCut = "cut"
 
-func digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // call is one request with what came of it.
 type call struct {
 	id       string
--- a/testscripts/fleet_test.go
+++ b/testscripts/fleet_test.go
@@ -53,6 +53,8 @@
 	groups map[string]*group
 	last   *group
 	marked map[string]int
+	// stalls holds the callers that do not read their answers.
+	stalls []stalled
 	// answered tells the answer to the latest request.
 	answered string
 	// gone holds what backend servers recorded before they were killed.
@@ -224,41 +226,14 @@
 	path := filepath.Join(f.dir, "instances.json")
 	f.procs["list"] = &process{args: []string{"fake", "list", "--addr", f.site.List.String(), "--file", path}}
 	for _, b := range f.site.Backends {
-		f.procs["backend:"+b.Name] = &process{args: []string{
-			"fake", "engine", "--record", "--addr", b.Server.String(),
-			"--full", fmt.Sprint(b.Full), "--cold", fmt.Sprint(b.Cold),
-			"--work", b.Work.String(), "--token", b.Token.String(),
-		}}
-		server, err := f.link("backend:"+b.Name, b.Server)
-		if err != nil {
-			return err
-		}
-		settings := fmt.Sprintf("name = %s\npool = %s\nregion = %s\ndomain = %s\naddr = %s\nbackend = %s\nfleet = %s\ngrace = 10s\n",
-			b.Name, b.Pool, f.site.Region, b.Domain, b.Addr, server, f.site.Fleet)
-		if err := f.settings("agent:"+b.Name, "agent", settings); err != nil {
+		if err := f.prepareBackend(b); err != nil {
 			return err
 		}
-		addr, err := f.link("agent:"+b.Name, b.Addr)
-		if err != nil {
-			return err
-		}
-		f.lines = append(f.lines, list.Line{Name: b.Name, Role: "agent", Addr: addr, Pool: b.Pool, Domain: b.Domain, Region: f.site.Region})
 	}
 	for _, e := range f.site.Entries {
-		log, err := f.link("log:"+e.Name, f.site.Log)
-		if err != nil {
+		if err := f.prepareEntry(e); err != nil {
 			return err
 		}
-		instances, err := f.link("list:"+e.Name, f.site.List)
-		if err != nil {
-			return err
-		}
-		settings := fmt.Sprintf("name = %s\nregion = %s\ndomain = %s\naddr = %s\nlog = %s\nlist = %s\nfleet = %s\noperators = mere:%s\nlag = 1s\ngrace = 20s\nsnapshot = 3s\n",
-			e.Name, f.site.Region, e.Domain, e.Addr, log, instances, f.site.Fleet, digest(f.site.Key))
-		if err := f.settings("entry:"+e.Name, "entry", settings); err != nil {
-			return err
-		}
-		f.lines = append(f.lines, list.Line{Name: e.Name, Role: "entry", Addr: e.Addr, Domain: e.Domain, Region: f.site.Region})
 	}
 	raw, err := json.Marshal(f.lines)
 	if err != nil {
@@ -267,6 +242,39 @@
 	return os.WriteFile(path, raw, 0o600)
 }
 
+// prepareBackend prepares a backend server and its agent.
+func (f *fleet) prepareBackend(b site.Backend) error {
+	f.procs["backend:"+b.Name] = &process{args: []string{
+		"fake", "engine", "--record", "--addr", b.Server.String(),
+		"--full", fmt.Sprint(b.Full), "--cold", fmt.Sprint(b.Cold),
+		"--work", b.Work.String(), "--token", b.Token.String(),
+	}}
+	addr, err := f.link("agent:"+b.Name, b.Addr)
+	if err != nil {
+		return err
+	}
+	f.lines = append(f.lines, list.Line{Name: b.Name, Role: "agent", Addr: addr, Pool: b.Pool, Domain: b.Domain, Region: f.site.Region})
+	if b.Server, err = f.link("backend:"+b.Name, b.Server); err != nil {
+		return err
+	}
+	return f.settings("agent:"+b.Name, "agent", f.site.AgentSettings(b)+"grace = 10s\n")
+}
+
+// prepareEntry prepares an entry, which reaches the platform through links of
+// its own.
+func (f *fleet) prepareEntry(e site.Entry) error {
+	f.lines = append(f.lines, list.Line{Name: e.Name, Role: "entry", Addr: e.Addr, Domain: e.Domain, Region: f.site.Region})
+	platform := *f.site
+	var err error
+	if platform.Log, err = f.link("log:"+e.Name, f.site.Log); err != nil {
+		return err
+	}
+	if platform.List, err = f.link("list:"+e.Name, f.site.List); err != nil {
+		return err
+	}
+	return f.settings("entry:"+e.Name, "entry", platform.EntrySettings(e)+"lag = 1s\ngrace = 20s\nsnapshot = 3s\n")
+}
+
 func (f *fleet) settings(name, command, text string) error {
 	path := filepath.Join(f.dir, strings.ReplaceAll(name, ":", "-")+".ini")
 	f.procs[name] = &process{args: []string{command, "--config", path}}
--- a/testscripts/vocabulary_test.go
+++ b/testscripts/vocabulary_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"sequoialead/common/digest"
 	fakeengine "sequoialead/fake/engine"
 	fakelog "sequoialead/fake/log"
 	"sequoialead/fake/proxy"
@@ -52,6 +53,9 @@
 		"sleep":     cmdSleep,
 		"check":     cmdCheck,
 		"over":      cmdOver,
+		"stall":     cmdStall,
+		"unstall":   cmdUnstall,
+		"free":      cmdFree,
 		"request":   cmdRequest,
 		"answered":  cmdAnswered,
 	}
@@ -138,7 +142,7 @@
 	if err := f.connected(); err != nil {
 		return err
 	}
-	return ts.Exec("sequoialead", "patch", "--base", "0", "--wait", "--file", configuration, "customer.c.key="+digest(customerKey))
+	return ts.Exec("sequoialead", "patch", "--base", "0", "--wait", "--file", configuration, "customer.c.key="+digest.Of(customerKey))
 }
 
 // cmdLog sets the log's faults: up, down, mute, lose N, keep N.
