config: Decode only the customers that a change names

Change: customers that no change names are taken over from the version before; the other sections, which are few, are decoded as before. A property test compares each updated configuration with the whole document's.

--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -1,12 +1,17 @@
 package config_test
 
 import (
+	"fmt"
 	"os"
+	"reflect"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
+	"sequoialead"
+	"sequoialead/common/digest"
 	"sequoialead/core/config"
 	"sequoialead/core/document"
 )
@@ -72,3 +77,43 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(conf.Pipelines["x"].Idempotent(), qt.IsFalse)
 }
+
+// A configuration that was updated change by change is the one that the whole
+// document gives, and is refused where that is.
+func TestUpdateEqualsDecode(t *testing.T) {
+	key := func(i int) string { return digest.Of(fmt.Sprint(i)) }
+	rapid.Check(t, func(t *rapid.T) {
+		doc := document.New()
+		conf, err := config.Decode(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "patches") {
+			var changes []sequoialead.Change
+			for range rapid.IntRange(1, 3).Draw(t, "changes") {
+				section := rapid.SampledFrom([]string{"customer.a", "customer.b", "customer.c", "customer.", "customers", "domain.d", "pool.p"}).Draw(t, "section")
+				changes = append(changes, rapid.SampledFrom([]sequoialead.Change{
+					{Section: section, Key: "key", Value: key(rapid.IntRange(0, 3).Draw(t, "key"))},
+					{Section: section, Key: "share", Value: rapid.SampledFrom([]string{"2", "0"}).Draw(t, "share")},
+					{Section: section, Key: "state", Value: "out"},
+					{Section: section, Key: "share", Remove: true},
+					{Section: section, Key: "key", Remove: true},
+					{Section: section, Remove: true},
+				}).Draw(t, "change"))
+			}
+			next := doc.Apply(changes)
+			whole, wrong := config.Decode(next)
+			updated, err := config.Update(conf, doc, next, changes)
+			if (err == nil) != (wrong == nil) {
+				t.Fatalf("update: %v, decode: %v", err, wrong)
+			}
+			if err != nil {
+				continue
+			}
+			if !reflect.DeepEqual(updated, whole) {
+				t.Fatalf("update: %v, decode: %v", updated, whole)
+			}
+			doc, conf = next, updated
+		}
+	})
+}
--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -4,6 +4,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -19,8 +21,13 @@
 	RouterAffinity = "affinity"
 )
 
+// kindCustomer is the kind of the sections of which there are many.
+const kindCustomer = "customer"
+
 type decoder struct {
-	doc    *document.Document
+	doc *document.Document
+	// names holds the sections other than those of customers, in order.
+	names  []string
 	config *Config
 	stages map[string]Stage
 	faults []error
@@ -29,8 +36,30 @@
 // Decode checks a document as a whole. The error names every fault with its
 // remedy.
 func Decode(doc *document.Document) (*Config, error) {
-	d := &decoder{
+	d := newDecoder(doc)
+	for _, section := range doc.Select(isCustomer) {
+		d.customer(section)
+	}
+	return d.decode()
+}
+
+// Update does the same for a document that was made from a valid one by
+// changes. It decodes again only those customers that the changes name.
+func Update(old *Config, from, to *document.Document, changes []sequoialead.Change) (*Config, error) {
+	d := newDecoder(to)
+	d.customers(old, from, changes)
+	return d.decode()
+}
+
+func isCustomer(section string) bool {
+	kind, name, ok := strings.Cut(section, ".")
+	return ok && kind == kindCustomer && name != ""
+}
+
+func newDecoder(doc *document.Document) *decoder {
+	return &decoder{
 		doc:    doc,
+		names:  doc.Select(func(section string) bool { return !isCustomer(section) }),
 		stages: map[string]Stage{},
 		config: &Config{
 			Pipelines: map[string]Pipeline{},
@@ -41,10 +70,13 @@
 			Policy:    Policy{Router: RouterAffinity, Early: true, Fair: true, Warm: true, Retries: 10, Eject: true},
 		},
 	}
+}
+
+// decode decodes all sections but those of customers.
+func (d *decoder) decode() (*Config, error) {
 	d.each("pool", d.pool)
 	d.each("stage", d.stage)
 	d.each("pipeline", d.pipeline)
-	d.each("customer", d.customer)
 	d.each("domain", d.domain)
 	d.each("backend", d.backend)
 	d.policy()
@@ -60,7 +92,7 @@
 }
 
 func (d *decoder) each(kind string, decode func(section, name string)) {
-	for _, section := range d.doc.Sections() {
+	for _, section := range d.names {
 		if name, ok := strings.CutPrefix(section, kind+"."); ok && name != "" {
 			decode(section, name)
 		}
@@ -68,9 +100,9 @@
 }
 
 func (d *decoder) unknown() {
-	kinds := []string{"pool", "stage", "pipeline", "customer", "domain", "backend"}
+	kinds := []string{"pool", "stage", "pipeline", kindCustomer, "domain", "backend"}
 next:
-	for _, section := range d.doc.Sections() {
+	for _, section := range d.names {
 		if section == "policy" {
 			continue
 		}
@@ -187,9 +219,40 @@
 	d.config.Pipelines[name] = p
 }
 
-func (d *decoder) customer(section, name string) {
+// customers takes the customers of an old configuration, less those that
+// changes name, and decodes the latter.
+func (d *decoder) customers(old *Config, from *document.Document, changes []sequoialead.Change) {
+	named := map[string]bool{}
+	for _, c := range changes {
+		if isCustomer(c.Section) {
+			named[c.Section] = true
+		}
+	}
+	d.config.Customers = old.Customers
+	if len(named) == 0 {
+		return
+	}
+	d.config.Customers = maps.Clone(old.Customers)
+	for section := range named {
+		delete(d.config.Customers, customerKey(from, section))
+	}
+	for _, section := range slices.Sorted(maps.Keys(named)) {
+		if len(d.doc.Keys(section)) > 0 {
+			d.customer(section)
+		}
+	}
+}
+
+// customerKey returns the key by which a customer is found.
+func customerKey(doc *document.Document, section string) string {
+	key, _ := doc.Value(section, "key")
+	return strings.ToLower(key)
+}
+
+func (d *decoder) customer(section string) {
 	d.known(section, "key", "share")
-	key := strings.ToLower(d.text(section, "key", ""))
+	name := strings.TrimPrefix(section, kindCustomer+".")
+	key := customerKey(d.doc, section)
 	if raw, err := hex.DecodeString(key); err != nil || len(raw) != 32 {
 		d.fault(section, "key", "is not a SHA-256 in hexadecimal; make one with 'sequoialead key'")
 		return
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -86,6 +86,18 @@
 	return slices.Sorted(maps.Keys(d.sections))
 }
 
+// Select returns the names of the sections that the function keeps, in order.
+func (d *Document) Select(keep func(section string) bool) []string {
+	var names []string
+	for name := range d.sections {
+		if keep(name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Keys returns the names of a section's keys in order.
 func (d *Document) Keys(section string) []string {
 	return slices.Sorted(maps.Keys(d.sections[section]))
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -185,8 +185,7 @@
 	if p.Base != f.version || p.Prior != f.digest {
 		return sequoialead.VerdictConflict, "the configuration has changed since the base version; look at it again and patch the current one"
 	}
-	doc := f.doc.Apply(p.Changes)
-	conf, err := config.Decode(doc)
+	doc, conf, err := f.try(p.Changes)
 	if err != nil {
 		return sequoialead.VerdictInvalid, err.Error()
 	}
@@ -194,6 +193,20 @@
 	return sequoialead.VerdictAccepted, ""
 }
 
+// Check returns why changes would not make a valid configuration of the
+// current one, or nil.
+func (f *Fold) Check(changes []sequoialead.Change) error {
+	_, _, err := f.try(changes)
+	return err
+}
+
+// try returns the configuration that changes make of the current one.
+func (f *Fold) try(changes []sequoialead.Change) (*document.Document, *config.Config, error) {
+	doc := f.doc.Apply(changes)
+	conf, err := config.Update(f.config, f.doc, doc, changes)
+	return doc, conf, err
+}
+
 func (f *Fold) advance(p sequoialead.Patch, raw []byte, doc *document.Document, conf *config.Config) {
 	if len(f.links) == 0 {
 		f.origin = f.doc
--- a/core/fold/relay.go
+++ b/core/fold/relay.go
@@ -6,7 +6,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"sequoialead"
-	"sequoialead/core/config"
 	"sequoialead/core/document"
 	"sequoialead/core/frame"
 )
@@ -77,8 +76,7 @@
 	if p.Prior != f.digest || !bytes.Equal(a.Token, f.token(p.Base+1, chain(f.digest, a.Raw))) {
 		return false, forged("patch")
 	}
-	doc := f.doc.Apply(p.Changes)
-	conf, err := config.Decode(doc)
+	doc, conf, err := f.try(p.Changes)
 	if err != nil {
 		return false, sequoialead.ErrInvalid.Wrap(err, "version %d is not valid here; update this process", p.Base+1)
 	}
--- a/core/follow/propose.go
+++ b/core/follow/propose.go
@@ -7,7 +7,6 @@
 	"github.com/google/uuid"
 
 	"sequoialead"
-	"sequoialead/core/config"
 	"sequoialead/core/fold"
 )
 
@@ -58,7 +57,7 @@
 	}
 	if p.Base == w.fold.Version() {
 		p.Prior = w.fold.Digest()
-		if _, err := config.Decode(w.fold.Document().Apply(p.Changes)); err != nil {
+		if err := w.fold.Check(p.Changes); err != nil {
 			return nil, &sequoialead.Audit{
 				ID:      p.ID,
 				Who:     p.Who,
