list: Read the instance list compressed and within a rate

Change: the list is asked for compressed, and no more of it is read than 700 B/s after a first 256 KB; in between the last one stays in use. Leaving is told by connections, agents and patches as before. Weighed: a longer period for all (today's sites would notice new instances late), changes from the platform (its list gives none).

Before: 24 KB/s, worked out.

--- a/fake/list/list.go
+++ b/fake/list/list.go
@@ -3,9 +3,11 @@
 package list
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -91,7 +93,14 @@
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
-	_, _ = w.Write(raw) // client gone
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(raw) // client gone
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	body := gzip.NewWriter(w)
+	_, _ = body.Write(raw) // client gone
+	_ = body.Close()
 }
 
 func (s *Server) replace(w http.ResponseWriter, r *http.Request) {
--- a/io/list/list_test.go
+++ b/io/list/list_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -36,7 +39,7 @@
 		platform.ServeHTTP(counter{w, &bytes}, r)
 	}))
 	defer server.Close()
-	client := list.New(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	client := list.New(list.Options{Addr: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))})
 	defer func() { c.Check(client.Close(), qt.IsNil) }()
 
 	got, err := client.Instances(context.Background())
@@ -60,3 +63,53 @@
 	_, err = client.Instances(context.Background())
 	c.Assert(err, qt.ErrorMatches, ".*answered 503; check it.*")
 }
+
+// A large list that changes all the time is read as often as its size, as it
+// is sent, allows, and one that changes now and then at once.
+func TestPaceOfALargeList(t *testing.T) {
+	const (
+		bytesPerSecond = 700
+		listed         = 6440
+		hours          = 1
+		lookSeconds    = 5
+		changeSeconds  = 40
+	)
+	c := qt.New(t)
+	lines := make([]list.Line, listed)
+	for i := range lines {
+		lines[i] = list.Line{Name: fmt.Sprint("instance-", i), Role: "agent", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Pool: fmt.Sprint("pool-", i%40), Domain: fmt.Sprint("domain-", i%17), Region: fmt.Sprint("region-", i%6)}
+	}
+	platform := fakelist.New(lines)
+	var bytes atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		platform.ServeHTTP(counter{w, &bytes}, r)
+	}))
+	defer server.Close()
+	now := time.Unix(0, 0)
+	client := list.New(list.Options{
+		Addr:  netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
+		Rate:  bytesPerSecond,
+		Burst: list.DefaultBurst,
+		Now:   func() time.Time { return now },
+	})
+	defer func() { c.Check(client.Close(), qt.IsNil) }()
+	for second := 0; second < hours*3600; second += lookSeconds {
+		if second%changeSeconds == 0 {
+			changed := slices.Clone(lines)
+			changed[second%listed].Leaving = true
+			platform = fakelist.New(changed)
+		}
+		_, err := client.Instances(context.Background())
+		c.Assert(err, qt.IsNil)
+		now = now.Add(lookSeconds * time.Second)
+	}
+	c.Assert(bytes.Load() <= hours*3600*bytesPerSecond+2*list.DefaultBurst, qt.IsTrue, qt.Commentf("%d bytes", bytes.Load()))
+
+	now = now.Add(time.Hour)
+	changed := slices.Clone(lines)
+	changed[0].Leaving = true
+	platform = fakelist.New(changed)
+	got, err := client.Instances(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(got[0].Leaving, qt.IsTrue)
+}
