--- a/core/agent/job.go
+++ b/core/agent/job.go
@@ -140,10 +140,7 @@
 	if !j.over() || int(d.next) < len(j.item.Chunks) {
 		return batch, false
 	}
-	end := j.item.End
-	end.Load = a.load(d.to.Peer())
-	batch = append(batch, frame.Frame{End: &frame.End{ID: id, End: end}})
-	return batch, true
+	return append(batch, a.end(id, j.item.End, d.to)), true
 }
 
 func (a *Agent) detach(j *job, d *delivery) {
--- a/core/agent/run.go
+++ b/core/agent/run.go
@@ -26,18 +26,16 @@
 
 // prune refuses the waiting calls that must not start any more.
 func (a *Agent) prune(now time.Time) {
-	var left []*job
-	for _, j := range a.waiting {
+	a.waiting = slices.DeleteFunc(a.waiting, func(j *job) bool {
 		if j.item.State != calls.Waiting {
-			continue
+			return true
 		}
-		if reason := a.unfit(j, now); reason != "" {
+		reason := a.unfit(j, now)
+		if reason != "" {
 			a.refuse(j, reason, now)
-			continue
 		}
-		left = append(left, j)
-	}
-	a.waiting = left
+		return reason != ""
+	})
 }
 
 // next takes out the waiting call that is to run next.
--- a/core/agent/serve.go
+++ b/core/agent/serve.go
@@ -63,9 +63,7 @@
 		a.attach(j, call, from)
 		return
 	}
-	end := item.End
-	end.Load = a.load(from.Peer())
-	a.post(from, frame.Frame{End: &frame.End{ID: call.ID, End: end}})
+	a.post(call.ID, item.End, from)
 }
 
 // tell sends a job's end to an entry that its answer is not delivered to.
@@ -73,9 +71,7 @@
 	if !j.over() || j.attached != nil && j.attached.to == to {
 		return
 	}
-	end := j.item.End
-	end.Load = a.load(to.Peer())
-	a.post(to, frame.Frame{End: &frame.End{ID: j.item.Call.ID, End: end}})
+	a.post(j.item.Call.ID, j.item.End, to)
 }
 
 // bar refuses a call and makes sure that no later copy of it runs.
@@ -89,12 +85,18 @@
 // answer says that a call was not started.
 func (a *Agent) answer(id sequoialead.CallID, from Sender, reason sequoialead.Reason) {
 	a.stats.Refused++
-	end := sequoialead.End{Ending: sequoialead.EndRefused, Reason: reason, Load: a.load(from.Peer())}
-	a.post(from, frame.Frame{End: &frame.End{ID: id, End: end}})
+	a.post(id, sequoialead.End{Ending: sequoialead.EndRefused, Reason: reason}, from)
+}
+
+// end returns the message of a call's end, with the load that the entry sees.
+func (a *Agent) end(id sequoialead.CallID, end sequoialead.End, to Sender) frame.Frame {
+	end.Load = a.load(to.Peer())
+	return frame.Frame{End: &frame.End{ID: id, End: end}}
 }
 
-// post sends without holding up the caller.
-func (a *Agent) post(to Sender, f frame.Frame) {
+// post sends a call's end without holding up the caller.
+func (a *Agent) post(id sequoialead.CallID, end sequoialead.End, to Sender) {
+	f := a.end(id, end, to)
 	a.tomb.Go(func() error {
 		_ = to.Send(f) // a lost connection is noticed by its reader
 		return nil
@@ -116,8 +118,7 @@
 		a.answer(id, from, item.End.Reason)
 		return
 	}
-	end := sequoialead.End{Ending: sequoialead.EndLost, Reason: sequoialead.ReasonMemory, Load: a.load(from.Peer())}
-	a.post(from, frame.Frame{End: &frame.End{ID: id, End: end}})
+	a.post(id, sequoialead.End{Ending: sequoialead.EndLost, Reason: sequoialead.ReasonMemory}, from)
 }
 
 // Ack forgets a call whose answer has arrived.
--- a/core/agent/watch.go
+++ b/core/agent/watch.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"sequoialead"
-	"sequoialead/core/calls"
 )
 
 // tick looks after the calls until the agent closes.
@@ -32,9 +31,6 @@
 		if j.orphaned(now) {
 			a.cancel(j, sequoialead.ReasonCancelled, now)
 		}
-		if j.item.State == calls.Waiting && now.After(j.item.Deadline) {
-			a.refuse(j, sequoialead.ReasonDeadline, now)
-		}
 		if a.table.Find(id) == nil {
 			delete(a.jobs, id)
 		}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -40,6 +40,15 @@
 	return true
 }
 
+// Within returns the time that a request may take which asks for the given
+// one, or for none if that is 0.
+func (p Pipeline) Within(asked time.Duration) time.Duration {
+	if asked <= 0 || asked > p.Deadline {
+		return p.Deadline
+	}
+	return asked
+}
+
 // Stage is one step of a pipeline.
 type Stage struct {
 	Name string
--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -160,15 +160,13 @@
 		return
 	}
 	options := e.kept(p, now)
-	for {
-		ticket := p.queue.Peek()
+	for p.queue.Len() > 0 {
 		open := roomy(options)
-		if ticket == nil || len(open) == 0 {
+		if len(open) == 0 {
 			return
 		}
-		w := ticket.Value.(*waiter)
+		w := p.queue.Pop().Value.(*waiter)
 		chosen := open[e.choose(p, open, w)]
-		p.queue.Pop()
 		e.take(p, chosen)
 		w.given <- chosen.peer
 	}
--- a/core/entry/run.go
+++ b/core/entry/run.go
@@ -46,9 +46,6 @@
 	if !ok {
 		return e.count(sequoialead.Answer{Outcome: sequoialead.OutcomeNotRun, Reason: sequoialead.ReasonPipeline, Version: version})
 	}
-	if within <= 0 || within > pipeline.Deadline {
-		within = pipeline.Deadline
-	}
 	r := &run{
 		entry:    e,
 		id:       uuid.New(),
@@ -56,7 +53,7 @@
 		customer: customer,
 		pipeline: pipeline,
 		version:  version,
-		deadline: time.Now().Add(within),
+		deadline: time.Now().Add(pipeline.Within(within)),
 		sink:     sink,
 		work:     work.Work{Text: request.Text, Body: request.Body},
 		spent:    make([]Cost, len(pipeline.Stages)),
--- a/core/shares/shares.go
+++ b/core/shares/shares.go
@@ -59,14 +59,6 @@
 	return t
 }
 
-// Peek returns the request to be served next, or nil.
-func (q *Queue) Peek() *Ticket {
-	if len(q.tickets) == 0 {
-		return nil
-	}
-	return q.tickets[0]
-}
-
 // Pop removes and returns the request to be served next, or nil.
 func (q *Queue) Pop() *Ticket {
 	if len(q.tickets) == 0 {
--- a/fake/proxy/proxy.go
+++ b/fake/proxy/proxy.go
@@ -99,23 +99,22 @@
 
 // Silence makes the open connections silent for good, while new ones work.
 func (p *Proxy) Silence() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.conns {
-		c.mu.Lock()
-		c.silent = true
-		c.mu.Unlock()
-	}
+	p.each(func(c *pair) { c.silent = true })
 }
 
 // Late holds up what clients send on the connections that are open now, and
 // delivers it also after they were closed. New connections are not concerned.
 func (p *Proxy) Late(by time.Duration) {
+	p.each(func(c *pair) { c.late = by })
+}
+
+// each changes every connection that is open now.
+func (p *Proxy) each(change func(*pair)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
 		c.mu.Lock()
-		c.late = by
+		change(c)
 		c.mu.Unlock()
 	}
 }
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -145,11 +145,7 @@
 // request's time is over.
 func (h *Handler) limit(w http.ResponseWriter, pipeline string, within time.Duration) {
 	conf, _ := h.opts.Configuration.Current()
-	longest := conf.Pipelines[pipeline].Deadline
-	if within <= 0 || within > longest {
-		within = longest
-	}
-	end := time.Now().Add(within + writeGrace)
+	end := time.Now().Add(conf.Pipelines[pipeline].Within(within) + writeGrace)
 	_ = http.NewResponseController(w).SetWriteDeadline(end) // in force until the answer's end
 }
 
--- a/testscripts/bench_test.go
+++ b/testscripts/bench_test.go
@@ -43,10 +43,8 @@
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		b.Fatal(err)
 	}
-	args := append([]string{"patch", "--entry", f.site.Entries[0].Addr.String(), "--key", operatorKey, "--base", "0", "--wait", "--timeout", "60s", "--file", path, "customer.c.key=" + digest.Of(customerKey)}, changes...)
-	if out, err := f.command(args...); err != nil {
-		b.Fatalf("%v: %s", err, out)
-	}
+	version := 0
+	f.change(b, f.site.Entries[0].Addr, &version, append([]string{"--file", path, "customer.c.key=" + digest.Of(customerKey)}, changes...)...)
 	return f
 }
 
--- a/testscripts/expect_test.go
+++ b/testscripts/expect_test.go
@@ -126,23 +126,25 @@
 func cmdChanged(_ *testscript.TestScript, f *fleet, args []string) error {
 	end := time.Now().Add(changedWithin)
 	for _, word := range args {
-		for {
-			n, err := f.taken(word)
-			if err != nil {
-				return err
-			}
-			if n > 0 {
-				break
-			}
-			if time.Now().After(end) {
-				return fmt.Errorf("%s took no calls within %s of the mark", word, changedWithin)
-			}
-			time.Sleep(50 * time.Millisecond)
+		if err := f.awaitTaken(word, end); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+func (f *fleet) awaitTaken(word string, end time.Time) error {
+	for {
+		if n, err := f.taken(word); err != nil || n > 0 {
+			return err
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s took no calls within %s of the mark", word, changedWithin)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func cmdSleep(_ *testscript.TestScript, _ *fleet, args []string) error {
 	d, err := time.ParseDuration(args[0])
 	time.Sleep(d)
--- a/testscripts/fleet_test.go
+++ b/testscripts/fleet_test.go
@@ -312,6 +312,15 @@
 
 func (f *fleet) logFault(fault fakelog.Fault) error { return post(f.site.Log, "/fault", fault) }
 
+func (f *fleet) entry(name string) (site.Entry, error) {
+	for _, e := range f.site.Entries {
+		if e.Name == name {
+			return e, nil
+		}
+	}
+	return site.Entry{}, fmt.Errorf("no entry %q", name)
+}
+
 func (f *fleet) backend(name string) (site.Backend, error) {
 	for _, b := range f.site.Backends {
 		if b.Name == name {
--- a/testscripts/stall_test.go
+++ b/testscripts/stall_test.go
@@ -43,24 +43,23 @@
 	if err != nil {
 		return err
 	}
+	e, err := f.entry(args[1])
+	if err != nil {
+		return err
+	}
 	client := stallClient()
-	for _, e := range f.site.Entries {
-		for i := 0; e.Name == args[1] && i < n; i++ {
-			body := fmt.Sprintf(`{"text":"stall-%d","stream":true}`, i)
-			request, err := http.NewRequest(http.MethodPost, "http://"+e.Addr.String()+"/v1/pipelines/"+args[2], strings.NewReader(body))
-			if err != nil {
-				return err
-			}
-			request.Header.Set("Authorization", "Bearer "+customerKey)
-			response, err := client.Do(request) //nolint:bodyclose // closed by cmdUnstall
-			if err != nil {
-				return err
-			}
-			f.stalls = append(f.stalls, stalled{response: response})
+	for i := range n {
+		body := fmt.Sprintf(`{"text":"stall-%d","stream":true}`, i)
+		request, err := http.NewRequest(http.MethodPost, "http://"+e.Addr.String()+"/v1/pipelines/"+args[2], strings.NewReader(body))
+		if err != nil {
+			return err
 		}
-	}
-	if len(f.stalls) != n {
-		return fmt.Errorf("%d streams begun, not %d", len(f.stalls), n)
+		request.Header.Set("Authorization", "Bearer "+customerKey)
+		response, err := client.Do(request) //nolint:bodyclose // closed by cmdUnstall
+		if err != nil {
+			return err
+		}
+		f.stalls = append(f.stalls, stalled{response: response})
 	}
 	return nil
 }
@@ -98,18 +97,13 @@
 
 // cmdFree waits until an entry holds no open request.
 func cmdFree(_ *testscript.TestScript, f *fleet, args []string) error {
+	e, err := f.entry(args[0])
+	if err != nil {
+		return err
+	}
 	for end := time.Now().Add(stopTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		for _, e := range f.site.Entries {
-			if e.Name != args[0] {
-				continue
-			}
-			open, err := readMetric(e.Addr.String(), "sequoialead_requests_open")
-			if err != nil {
-				return err
-			}
-			if open == 0 {
-				return nil
-			}
+		if open, err := readMetric(e.Addr.String(), "sequoialead_requests_open"); err != nil || open == 0 {
+			return err
 		}
 	}
 	return fmt.Errorf("%s still holds open requests after %s", args[0], stopTimeout)
--- a/testscripts/vocabulary_test.go
+++ b/testscripts/vocabulary_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/netip"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -231,11 +232,11 @@
 	if err := flags.Parse(args); err != nil || flags.NArg() != 1 {
 		return fmt.Errorf("usage: again [-at N] ENTRY: %w", err)
 	}
-	for _, e := range f.site.Entries {
-		if e.Name == flags.Arg(0) {
-			o.entries = append(o.entries, e.Addr)
-		}
+	e, err := f.entry(flags.Arg(0))
+	if err != nil {
+		return err
 	}
+	o.entries = []netip.AddrPort{e.Addr}
 	o.quit = callTimeout
 	g := &group{}
 	for _, c := range f.last.calls {
