cold, pool: Let warm servers have short bursts of one entry

With 27 entries the part of the cold rate is 1.1 requests a second to one server, so the second prompt within 1.1 s goes elsewhere and has 5,400 tokens read again: the largest price there.

Change: up to three at once to a server known to be warm, counted over the time in which the part allows three; one that is new, failed, was not reached, says that it is cold or whose records were not read gets what it got before.

--- a/core/cold/cold.go
+++ b/core/cold/cold.go
@@ -22,17 +22,14 @@
 func New() *Rate { return &Rate{} }
 
 // Allow reports whether one more request may be sent when the entry's part is
-// a number of requests a second, which may be below one.
-func (r *Rate) Allow(now time.Time, part float64) bool {
+// a number of requests a second, which may be below one. Up to a burst of
+// requests may be sent at once, of what the part allows over a longer time.
+func (r *Rate) Allow(now time.Time, part float64, burst int) bool {
 	if part <= 0 {
 		return false
 	}
-	most, span := int(part), window
-	if most < 1 {
-		most = 1
-		span = time.Duration(float64(window) / part)
-	}
-	span += jitter
+	most := max(int(part), burst, 1)
+	span := max(time.Duration(float64(most)/part*float64(window)), window) + jitter
 	count := 0
 	for i := len(r.sent) - 1; i >= 0 && now.Sub(r.sent[i]) < span; i-- {
 		count++
@@ -41,8 +38,8 @@
 }
 
 // keep is how long sent requests are remembered: longer than the widest window
-// of a part of one request in twenty seconds.
-const keep = 21 * time.Second
+// of a burst of three requests at a part of one in twenty seconds.
+const keep = 61 * time.Second
 
 // most bounds the memory of one server's count.
 const most = 4096
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -31,6 +31,8 @@
 	// Plan returns the configuration in force; nil if none is known.
 	Plan() *plan.Plan
 	Lease() *lease.Lease
+	// ServersLease tells how old the knowledge of the backend servers is.
+	ServersLease() *lease.Lease
 	Usable(now time.Time) []roster.Entry
 	// Entries returns the number of entries to share bounds with, and Members
 	// those that are known.
@@ -221,6 +223,10 @@
 			own[name] = f.delegate.Update(name, known, servers(byPool[name]))
 		}
 	}
+	var read time.Time
+	if age, ok := f.opts.Knowledge.ServersLease().Age(now); ok {
+		read = now.Add(-age)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries = f.opts.Knowledge.Entries(now)
@@ -228,7 +234,7 @@
 		f.pool(name)
 	}
 	for name, p := range f.pools {
-		p.Update(conf.Pools[name], byPool[name], own[name], f.entries)
+		p.Update(pool.View{Conf: conf.Pools[name], Usable: byPool[name], Read: read, Own: own[name], Entries: f.entries}, now)
 	}
 	f.wake()
 }
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -73,9 +73,11 @@
 	w.plan.Routes["h"] = []*plan.Route{&r}
 }
 
-func (w *world) Plan() *plan.Plan      { return w.plan }
-func (w *world) Lease() *lease.Lease   { return w.lease }
-func (w *world) Entries(time.Time) int { return 1 }
+func (w *world) Plan() *plan.Plan    { return w.plan }
+func (w *world) Lease() *lease.Lease { return w.lease }
+
+func (w *world) ServersLease() *lease.Lease { return w.lease }
+func (w *world) Entries(time.Time) int      { return 1 }
 func (w *world) Members(time.Time) []members.Entry {
 	return []members.Entry{{Name: "e", Domain: "a"}}
 }
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -85,10 +85,12 @@
 		m.downUntil, m.pause = time.Time{}, 0
 	case EndFailed:
 		m.failing += newWeight * (1 - m.failing)
+		m.suspect(now.Add(coldTime))
 	case EndUnreached:
 		m.failing += newWeight * (1 - m.failing)
 		m.pause = min(max(2*m.pause, pauseFirst), pauseMost)
 		m.downUntil = now.Add(m.pause)
+		m.suspect(now.Add(coldTime))
 	case EndRefused, EndAbandoned:
 	}
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -1,6 +1,6 @@
 // Package pool decides which backend server of a pool gets a request, and how
-// much each may get from this entry. Besides the pool it exports its options,
-// what a request wants, and the places that it gives out.
+// much each may get from this entry. Besides the pool it exports its options, what
+// is known of it, what a request wants, and the places that it gives out.
 package pool
 
 import (
@@ -71,7 +71,10 @@
 	// pending is the number of prompt tokens sent that no event has followed.
 	pending int
 	cold    *cold.Rate
-	cache   *prompts.Cache
+	// coldUntil is until when the backend server is taken to be cold: it is new,
+	// said so, or showed a sign of a restart.
+	coldUntil time.Time
+	cache     *prompts.Cache
 	// failing is the recent share of failures, from 0 to 1.
 	failing float64
 	// latency is the recent time to the first byte, in seconds; 0 if unknown.
@@ -94,6 +97,8 @@
 	conf    *plan.Pool
 	members []*member
 	entries int
+	// read is when the records of the backend servers were last read.
+	read time.Time
 	// own holds the backend servers that this entry leads.
 	own    map[string]bool
 	budget *retries.Budget
@@ -170,29 +175,45 @@
 // Own returns the number of backend servers that this entry leads.
 func (p *Pool) Own() int { return len(p.own) }
 
-// Update takes the configuration, the usable backend servers, those of them that
-// this entry leads, and the number of entries that share bounds.
-func (p *Pool) Update(conf *plan.Pool, usable []roster.Entry, own map[string]bool, entries int) {
-	if conf != nil {
-		p.conf = conf
+// View is what is known of a pool.
+type View struct {
+	// Conf is nil if it is not known any more; the last one known stays in force.
+	Conf *plan.Pool
+	// Usable are the backend servers that may get work, as read at a time.
+	Usable []roster.Entry
+	Read   time.Time
+	// Own holds those of them that this entry leads, by ID.
+	Own map[string]bool
+	// Entries is the number of entries that share bounds.
+	Entries int
+}
+
+// Update takes what is known now.
+func (p *Pool) Update(view View, now time.Time) {
+	if view.Conf != nil {
+		p.conf = view.Conf
 	}
-	p.entries = max(entries, 1)
-	p.own = own
+	p.entries = max(view.Entries, 1)
+	p.own = view.Own
+	p.read = view.Read
 	old := make(map[string]*member, len(p.members))
 	for _, m := range p.members {
 		old[m.Server.ID] = m
 	}
 	p.members = p.members[:0]
-	for _, e := range usable {
+	for _, e := range view.Usable {
 		m := old[e.Server.ID]
 		if m == nil || !m.Server.Born.Equal(e.Server.Born) || m.Server.Addr != e.Server.Addr {
-			fresh := &member{cold: cold.New(), cache: prompts.New(p.conf.Memory), hash: xxhash.Sum64String(e.Server.ID)}
+			fresh := &member{
+				cold: cold.New(), coldUntil: now.Add(coldTime), cache: prompts.New(p.conf.Memory), hash: xxhash.Sum64String(e.Server.ID),
+			}
 			if m != nil {
 				fresh.cold = m.cold // the bound holds for an address and both lives
 			}
 			m = fresh
 		}
 		m.Entry = e
+		m.suspect(e.Read.Add(e.Server.Cold))
 		p.members = append(p.members, m)
 	}
 	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
@@ -269,15 +290,39 @@
 	return most
 }
 
-// bears reports whether a backend server that may be cold bears one more.
+// bears reports whether a backend server that may be cold bears one more. One
+// that is known to be warm gets short bursts too, as prompts that belong there
+// come together; the part of each entry still holds over a longer time, since it
+// may turn cold without a sign.
 func (p *Pool) bears(m *member, now time.Time) bool {
 	if p.conf.ColdRate <= 0 {
 		return true
 	}
 	part := (p.conf.ColdRate*p.opts.Bounds.ColdOver + p.opts.Bounds.ColdSlack) * coldMargin / float64(p.entries)
-	return m.cold.Allow(now, part)
+	burst := 1
+	if now.After(m.coldUntil) && now.Sub(p.read) < coldTime {
+		burst = warmBurst
+	}
+	return m.cold.Allow(now, part, burst)
 }
 
+// suspect takes a backend server to be cold until a time, if not longer.
+func (m *member) suspect(until time.Time) {
+	if until.After(m.coldUntil) {
+		m.coldUntil = until
+	}
+}
+
+// warmBurst is the number of requests that an entry may send at once to a backend
+// server known to be warm: prompts that belong to one server come in twos and
+// threes, and all entries rarely send one at the same moment.
+const warmBurst = 3
+
+// coldTime is how long a backend server is taken to be cold after it was first
+// seen or showed a sign of a restart: longer than a heartbeat, its way through
+// the store and a read of it take together.
+const coldTime = 5 * time.Second
+
 // coldMargin keeps a part of the shared bound unused for entries that have
 // started and are not yet known to the others.
 const coldMargin = 0.75
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -21,7 +21,7 @@
 		Name: "p", Domain: "a", Random: rand.New(rand.NewPCG(1, 1)),
 		Bounds: pool.Bounds{Retries: retries.Options{Window: time.Second}, ColdOver: 1.5, ColdSlack: 5},
 	})
-	p.Update(&conf, list(servers), nil, entries)
+	p.Update(pool.View{Conf: &conf, Usable: list(servers), Entries: entries}, time.Unix(1000, 0))
 	return p
 }
 
@@ -79,7 +79,7 @@
 			if step == 50 {
 				reborn := list(1)
 				reborn[0].Server.Born = time.Unix(999, 0)
-				p.Update(nil, reborn, nil, entries)
+				p.Update(pool.View{Usable: reborn, Entries: entries}, now)
 			}
 			if place, _ := p.Take(pool.Want{}, now); place != nil {
 				sent++
@@ -91,11 +91,58 @@
 	c.Assert(sent > 20 && float64(sent) <= 23*1.5+5, qt.IsTrue, qt.Commentf("%d", sent))
 }
 
+// A backend server known to be warm gets short bursts of one entry; one that may
+// be cold does not.
+func TestBurstsGoToWarmServersOnly(t *testing.T) {
+	const entries = 20 // whose part is below one request a second
+	tests := []struct {
+		desc   string
+		change func(p *pool.Pool, view *pool.View, now time.Time)
+		want   int
+	}{
+		{"warm", func(*pool.Pool, *pool.View, time.Time) {}, 3},
+		{"just seen", func(_ *pool.Pool, view *pool.View, now time.Time) {
+			view.Usable[0].Server.Born = now
+		}, 1},
+		{"its record says that it is cold", func(_ *pool.Pool, view *pool.View, now time.Time) {
+			view.Usable[0].Read, view.Usable[0].Server.Cold = now, time.Second
+		}, 1},
+		{"it failed a request", func(p *pool.Pool, _ *pool.View, now time.Time) {
+			place, _ := p.Take(pool.Want{}, now.Add(-4*time.Second))
+			p.Give(place, pool.EndFailed, nil, now.Add(-2*time.Second))
+		}, 1},
+		{"it was not reached", func(p *pool.Pool, _ *pool.View, now time.Time) {
+			place, _ := p.Take(pool.Want{}, now.Add(-4*time.Second))
+			p.Give(place, pool.EndUnreached, nil, now.Add(-2*time.Second))
+		}, 1},
+		{"its record was not read for long", func(_ *pool.Pool, view *pool.View, now time.Time) {
+			view.Read = now.Add(-5 * time.Second)
+		}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			p := build(plan.Pool{ColdRate: 11, Conns: 10000, Slots: 1000, Memory: 1000}, 1, entries)
+			now := time.Unix(1060, 0)
+			view := pool.View{Usable: list(1), Read: now, Entries: entries}
+			test.change(p, &view, now)
+			p.Update(view, now)
+			n := 0
+			for range 5 {
+				if place, _ := p.Take(pool.Want{}, now); place != nil {
+					n++
+					p.Give(place, pool.EndDone, nil, now)
+				}
+			}
+			qt.Assert(t, n, qt.Equals, test.want)
+		})
+	}
+}
+
 func TestDomainsAreThoseOfTheServersThatAreLed(t *testing.T) {
 	c := qt.New(t)
 	p := build(plan.Pool{Conns: 100}, 2, 1)
 	c.Assert(p.Has("a") && p.Has("b") && !p.Has("c"), qt.IsTrue)
-	p.Update(nil, list(2), map[string]bool{"s0": true}, 1)
+	p.Update(pool.View{Usable: list(2), Own: map[string]bool{"s0": true}, Entries: 1}, time.Unix(1000, 0))
 	c.Assert(p.Has("a") && !p.Has("b"), qt.IsTrue)
 }
 
