delegate, sibling: Tell what waits at a leader with each beat

Cause: an entry learned of a leader's queue only from the answers to its own orders, and forgot it after half a second.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -165,3 +165,11 @@
 
 // Dropped gives up results.
 func (o *orders) Dropped(results []frame.Result) { o.delegate().Dropped(results) }
+
+// Backlogs returns what waits here for the backend servers that this entry leads.
+func (o *orders) Backlogs() map[string]frame.Backlog { return o.delegate().Backlogs() }
+
+// Heard takes what another entry says of what waits there.
+func (o *orders) Heard(entry string, backlogs map[string]frame.Backlog) {
+	o.delegate().Heard(entry, backlogs)
+}
--- a/core/delegate/delegate.go
+++ b/core/delegate/delegate.go
@@ -48,8 +48,9 @@
 	Now     func() time.Time
 }
 
-// backlogLife is how long a leader's word on its backlog counts.
-const backlogLife = 500 * time.Millisecond
+// backlogLife is how long a leader's word on its backlog counts: as long as an
+// entry that is silent counts as reachable.
+const backlogLife = 900 * time.Millisecond
 
 // overflowGain is the time that an order must gain at another group's leader,
 // since what is known of that may be old.
@@ -242,6 +243,31 @@
 	return batch.Estimate(conf.Pieces, r.backlog, rank, pieces)
 }
 
+// Backlogs returns what waits here for the backend servers that this entry leads,
+// by pool.
+func (d *Delegate) Backlogs() map[string]frame.Backlog {
+	d.mu.Lock()
+	led := make([]string, 0, len(d.groups))
+	for pool, g := range d.groups {
+		if len(g.Own(d.opts.Entry)) > 0 {
+			led = append(led, pool)
+		}
+	}
+	d.mu.Unlock()
+	backlogs := make(map[string]frame.Backlog, len(led))
+	for _, pool := range led {
+		backlogs[pool] = d.opts.Batcher.Backlog(pool)
+	}
+	return backlogs
+}
+
+// Heard takes what another entry says of what waits there.
+func (d *Delegate) Heard(entry string, backlogs map[string]frame.Backlog) {
+	for pool, backlog := range backlogs {
+		d.heard(pool, entry, backlog)
+	}
+}
+
 func (d *Delegate) heard(pool, leader string, backlog frame.Backlog) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -138,6 +138,27 @@
 	c.Assert(d.Estimate(s.Conf(""), "r", 0, 1) > time.Second, qt.IsTrue) // behind the leader's call
 }
 
+// What waits at a leader is known before an order to it has ended: an estimate of
+// a full queue that is taken to be empty begins stages that end too late.
+func TestEstimateCountsWhatTheLeaderSaidBetweenOrders(t *testing.T) {
+	c := qt.New(t)
+	s := &site{reached: true}
+	d := build(t, s)
+	conf := s.Conf("")
+	c.Assert(d.Backlogs(), qt.HasLen, 0) // nothing is led here
+	before := d.Estimate(conf, "r", 0, 1)
+	for i := range 100 {
+		d.Heard(fmt.Sprintf("sibling-%d", i), map[string]frame.Backlog{"encode": {Usual: 100 * time.Millisecond, Servers: 1, Calls: 1, Pieces: []int{40}}})
+	}
+	c.Assert(d.Estimate(conf, "r", 0, 1) >= before+time.Second, qt.IsTrue) // ten calls of four pieces
+}
+
+func TestWhatIsLedHereIsTold(t *testing.T) {
+	c := qt.New(t)
+	d := build(t, &site{})
+	c.Assert(d.Backlogs()["encode"].Servers, qt.Equals, 1)
+}
+
 func TestLostLeaderIsReplacedByTheEntryItself(t *testing.T) {
 	c := qt.New(t)
 	s := &site{reached: true}
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -159,4 +159,7 @@
 type Beat struct {
 	// Leaving is set once the entry takes no more orders.
 	Leaving bool `cbor:"1,keyasint,omitempty"`
+	// Backlogs holds what waits at the entry for the backend servers that it
+	// leads, by pool. It is set in answers only.
+	Backlogs map[string]Backlog `cbor:"2,keyasint,omitempty"`
 }
--- a/io/sibling/order.go
+++ b/io/sibling/order.go
@@ -142,7 +142,7 @@
 		c.s.mu.Lock()
 		leaving := c.s.leaving
 		c.s.mu.Unlock()
-		l.Post(frame.Frame{Beat: &frame.Beat{Leaving: leaving}})
+		l.Post(frame.Frame{Beat: &frame.Beat{Leaving: leaving, Backlogs: c.s.opts.Handler.Backlogs()}})
 	}
 }
 
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -42,6 +42,11 @@
 	Serve(ctx context.Context, order frame.Order, read func()) frame.Made
 	// Dropped gives up results.
 	Dropped(results []frame.Result)
+	// Backlogs returns what waits here for the backend servers that this entry
+	// leads, by pool.
+	Backlogs() map[string]frame.Backlog
+	// Heard takes what another entry says of what waits there.
+	Heard(entry string, backlogs map[string]frame.Backlog)
 }
 
 // Options configures the connections.
@@ -246,6 +251,9 @@
 
 // answer takes a message of an entry that was asked.
 func (s *Siblings) answer(p *peer, f frame.Frame) {
+	if f.Beat != nil && len(f.Beat.Backlogs) > 0 {
+		s.opts.Handler.Heard(p.name, f.Beat.Backlogs)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/io/sibling/sibling_test.go
+++ b/io/sibling/sibling_test.go
@@ -23,6 +23,7 @@
 	let     chan struct{}
 	mu      sync.Mutex
 	dropped []frame.Result
+	heard   map[string]frame.Backlog
 }
 
 func (h *handler) Serve(ctx context.Context, order frame.Order, read func()) frame.Made {
@@ -46,6 +47,18 @@
 	h.dropped = append(h.dropped, results...)
 }
 
+func (h *handler) Backlogs() map[string]frame.Backlog {
+	return map[string]frame.Backlog{"a": {Calls: 3, Pieces: []int{0, 5}}}
+}
+
+func (h *handler) Heard(entry string, backlogs map[string]frame.Backlog) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if entry == "far" {
+		h.heard = backlogs
+	}
+}
+
 func (h *handler) count() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -128,6 +141,17 @@
 	qt.Assert(t, ok, qt.IsFalse)
 }
 
+// What waits at an entry is known without an order to it.
+func TestBacklogsAreToldWithoutOrders(t *testing.T) {
+	_, far, h := couple(t)
+	until(t, "the backlog", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.heard["a"].Calls == 3 && len(h.heard["a"].Pieces) == 2
+	})
+	qt.Assert(t, far.Close(), qt.IsNil)
+}
+
 func TestCancelledOrderEndsAtTheOther(t *testing.T) {
 	near, _, _ := couple(t)
 	ctx, cancel := context.WithCancel(context.Background())
