watch, relay: Let one entry read the store's records for all

Cause: each entry read three topics by itself.

Change: by rendezvous hash one entry reads a topic for all (one in each failure domain from 64 entries on) at half the pause, and the others ask it over the links between entries. The answer says how old its read is, counted from the start of the ask, so the lease on keys stays sound without synchronised clocks. Too old, missing or incomplete answers are replaced by reads of one's own. An entry whose read fails asks the others. Large records are not told: links of entries are slow.

Ruled out: pushing from the reader, since the age of a message that was held up is not known to who gets it; waiting reads (each record's return is a call).

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -18,6 +18,7 @@
 	"sequoialead/core/frame"
 	"sequoialead/core/kernel"
 	"sequoialead/core/members"
+	"sequoialead/core/relay"
 	"sequoialead/core/watch"
 	"sequoialead/io/gateway"
 	"sequoialead/io/http1"
@@ -97,10 +98,17 @@
 // decides about requests.
 func buildForward(s gatewaySettings, log klog.Logger, client *http1.Client, set *metrics.Set) (*watch.Watcher, *sibling.Siblings, *forward.Forwarder) {
 	var forwarder *forward.Forwarder
+	var watcher *watch.Watcher
 	changed := func() { forwarder.Refresh() }
-	watcher := watch.New(watch.Options{
-		Self:    members.Entry{Name: s.name, Domain: s.domain, Addr: s.peers},
+	siblings := sibling.New(sibling.Options{
+		Name: s.name, Log: log, Changed: changed,
+		Handler: &helper{delegate: func() *delegate.Delegate { return forwarder.Delegate() }, watcher: func() *watch.Watcher { return watcher }},
+	})
+	self := members.Entry{Name: s.name, Domain: s.domain, Addr: s.peers}
+	watcher = watch.New(watch.Options{
+		Self:    self,
 		Store:   platform.NewStore(client, s.store),
+		Relay:   relay.New(relay.Options{Self: self, Peers: siblings, Now: bootclock.Now}),
 		Decoder: platform.Decoder{},
 		Log:     log,
 		Now:     bootclock.Now,
@@ -110,9 +118,6 @@
 		Assumed: s.entries,
 		Changed: changed,
 	})
-	siblings := sibling.New(sibling.Options{
-		Name: s.name, Handler: &orders{delegate: func() *delegate.Delegate { return forwarder.Delegate() }}, Log: log, Changed: changed,
-	})
 	backends := platform.NewBackends(client)
 	seed := uint64(time.Now().UnixNano())
 	forwarder = forward.New(forward.Options{
@@ -151,25 +156,29 @@
 	return web.New(web.Options{Addr: s.addr, Handler: handler, Grace: stopReserve / 2, Idle: idle})
 }
 
-// orders serves other entries once the forwarder exists.
-type orders struct {
+// helper serves other entries once the services that do so exist.
+type helper struct {
 	delegate func() *delegate.Delegate
+	watcher  func() *watch.Watcher
 }
 
-var _ sibling.Handler = (*orders)(nil)
+var _ sibling.Handler = (*helper)(nil)
 
 // Serve has an order made.
-func (o *orders) Serve(ctx context.Context, order frame.Order, read func()) frame.Made {
-	return o.delegate().Serve(ctx, order, read)
+func (h *helper) Serve(ctx context.Context, order frame.Order, read func()) frame.Made {
+	return h.delegate().Serve(ctx, order, read)
 }
 
 // Dropped gives up results.
-func (o *orders) Dropped(results []frame.Result) { o.delegate().Dropped(results) }
+func (h *helper) Dropped(results []frame.Result) { h.delegate().Dropped(results) }
+
+// Tell returns what this entry knows of the store's records.
+func (h *helper) Tell(ask frame.Ask) frame.News { return h.watcher().Tell(ask) }
 
 // Backlogs returns what waits here for the backend servers that this entry leads.
-func (o *orders) Backlogs() map[string]frame.Backlog { return o.delegate().Backlogs() }
+func (h *helper) Backlogs() map[string]frame.Backlog { return h.delegate().Backlogs() }
 
 // Heard takes what another entry says of what waits there.
-func (o *orders) Heard(entry string, backlogs map[string]frame.Backlog) {
-	o.delegate().Heard(entry, backlogs)
+func (h *helper) Heard(entry string, backlogs map[string]frame.Backlog) {
+	h.delegate().Heard(entry, backlogs)
 }
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -30,6 +30,8 @@
 	Drop   *Drop             `cbor:"14,keyasint,omitempty"`
 	Beat   *Beat             `cbor:"15,keyasint,omitempty"`
 	Read   *Read             `cbor:"16,keyasint,omitempty"`
+	Ask    *Ask              `cbor:"17,keyasint,omitempty"`
+	News   *News             `cbor:"18,keyasint,omitempty"`
 }
 
 // Hello opens a connection, from the agent to the entry.
@@ -163,3 +165,23 @@
 	// leads, by pool. It is set in answers only.
 	Backlogs map[string]Backlog `cbor:"2,keyasint,omitempty"`
 }
+
+// Ask asks an entry for the store's records of a topic from an offset on.
+type Ask struct {
+	// ID is unique on its connection.
+	ID    uint64            `cbor:"1,keyasint"`
+	Topic sequoialead.Topic `cbor:"2,keyasint"`
+	From  uint64            `cbor:"3,keyasint"`
+}
+
+// News answers an Ask.
+type News struct {
+	ID uint64 `cbor:"1,keyasint"`
+	// Known is set if the entry knows all records from the offset on.
+	Known bool               `cbor:"2,keyasint,omitempty"`
+	Items []sequoialead.Item `cbor:"3,keyasint,omitempty"`
+	// Next is the offset of the first record that was not read.
+	Next uint64 `cbor:"4,keyasint,omitempty"`
+	// Age is how long before the answer the newest read of the store began.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
+}
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,150 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sequoialead"
+	"sequoialead/core/frame"
+	"sequoialead/core/members"
+	"sequoialead/core/relay"
+)
+
+// peers answers for the entries that it holds an age of.
+type peers struct {
+	ages    map[string]time.Duration
+	unknown bool
+	asked   []string
+}
+
+func (p *peers) Reach(name string) bool { _, ok := p.ages[name]; return ok }
+
+func (p *peers) Ask(_ context.Context, name string, ask frame.Ask) (frame.News, bool) {
+	p.asked = append(p.asked, name)
+	if p.ages[name] < 0 {
+		return frame.News{}, false
+	}
+	return frame.News{Known: !p.unknown, Next: ask.From, Age: p.ages[name]}, true
+}
+
+func all(n int) []members.Entry {
+	var list []members.Entry
+	for i := range n {
+		list = append(list, members.Entry{Name: fmt.Sprintf("e%d", i), Domain: string(rune('a' + i%4))})
+	}
+	return list
+}
+
+const topic = sequoialead.TopicServers
+
+// readers returns the entries that hold themselves to be a topic's reader.
+func readers(entries []members.Entry) []string {
+	var names []string
+	for _, e := range entries {
+		r := relay.New(relay.Options{Self: e, Peers: &peers{}, Now: func() time.Time { return time.Unix(1000, 0) }})
+		if r.Reader(topic, entries) {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
+func TestEntriesAgreeOnTheReader(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(readers(all(1)), qt.HasLen, 0) // nobody to read for
+	c.Assert(readers(all(2)), qt.HasLen, 1)
+	c.Assert(readers(all(27)), qt.HasLen, 1)
+	c.Assert(readers(all(100)), qt.HasLen, 4) // one in each failure domain
+}
+
+func TestWhoIsAsked(t *testing.T) {
+	entries := all(5)
+	first := readers(entries)[0]
+	second := ""
+	var rest []members.Entry
+	for _, e := range entries {
+		if e.Name != first {
+			rest = append(rest, e)
+		}
+	}
+	second = readers(rest)[0]
+	var self members.Entry
+	for _, e := range entries {
+		if e.Name != first && e.Name != second {
+			self = e
+		}
+	}
+	const fresh, old, silent = time.Millisecond, time.Minute, -1
+	tests := []struct {
+		desc  string
+		ages  map[string]time.Duration
+		from  string
+		asked []string
+	}{
+		{"the reader", map[string]time.Duration{first: fresh, second: fresh}, first, []string{first}},
+		{"the next one, as the reader knows nothing recent", map[string]time.Duration{first: old, second: fresh}, second, []string{first, second}},
+		{"the next one, as the reader does not answer", map[string]time.Duration{first: silent, second: fresh}, second, []string{first, second}},
+		{"the next one, as the reader is not reached", map[string]time.Duration{second: fresh}, second, []string{second}},
+		{"nobody", map[string]time.Duration{first: old, second: silent}, "", []string{first, second}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			p := &peers{ages: test.ages}
+			r := relay.New(relay.Options{Self: self, Peers: p, Now: func() time.Time { return now }})
+			_, from, ok := r.Read(context.Background(), frame.Ask{Topic: topic, From: 7}, entries, time.Second)
+			c.Assert(from, qt.Equals, test.from)
+			c.Assert(ok, qt.Equals, test.from != "")
+			c.Assert(p.asked, qt.DeepEquals, test.asked)
+		})
+	}
+}
+
+// An entry that was found stale is passed over for a while, and then asked again.
+func TestStaleReaderIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	entries := all(2)
+	first := readers(entries)[0]
+	self := entries[0]
+	if self.Name == first {
+		self = entries[1]
+	}
+	p := &peers{ages: map[string]time.Duration{first: time.Minute}}
+	r := relay.New(relay.Options{Self: self, Peers: p, Now: func() time.Time { return now }})
+	c.Assert(r.Reader(topic, entries), qt.IsFalse)
+	for range 3 {
+		_, _, ok := r.Read(context.Background(), frame.Ask{Topic: topic}, entries, time.Second)
+		c.Assert(ok, qt.IsFalse)
+	}
+	c.Assert(p.asked, qt.HasLen, 1)
+	c.Assert(r.Reader(topic, entries), qt.IsTrue) // it takes over
+	now = now.Add(3 * time.Second)
+	p.ages[first] = time.Millisecond
+	_, _, ok := r.Read(context.Background(), frame.Ask{Topic: topic}, entries, time.Second)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(r.Reader(topic, entries), qt.IsFalse)
+}
+
+// An entry that lacks some of the records is not stale.
+func TestEntryThatLacksRecordsIsAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	entries := all(3)
+	first := readers(entries)[0]
+	p := &peers{ages: map[string]time.Duration{first: 0}, unknown: true}
+	for _, self := range entries {
+		if self.Name != first {
+			r := relay.New(relay.Options{Self: self, Peers: p, Now: func() time.Time { return time.Unix(1000, 0) }})
+			for range 2 {
+				_, _, ok := r.Rescue(context.Background(), frame.Ask{Topic: topic}, entries, time.Second)
+				c.Assert(ok, qt.IsFalse)
+			}
+		}
+	}
+	c.Assert(len(p.asked) >= 4, qt.IsTrue)
+}
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -8,12 +8,11 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-	"github.com/joomcode/errorx"
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 
 	"sequoialead"
+	"sequoialead/core/frame"
 	"sequoialead/core/lease"
 	"sequoialead/core/members"
 	"sequoialead/core/plan"
@@ -38,6 +37,14 @@
 	entriesPace  = 8 * time.Second
 	entriesFirst = 1500 * time.Millisecond
 	firstReads   = 4
+	// sharedFactor is the part of the time between reads that is left where one
+	// entry reads for others, since the pauses of both add up.
+	sharedFactor = 0.5
+	// askedAge is how old another entry's read may be, as a part of the time
+	// between reads: the reader's own pause and a read that takes long.
+	askedAge = 0.75
+	// rescueAge is the same where the store turns this entry away.
+	rescueAge = 2.0
 	// readTimeout bounds a read.
 	readTimeout = 1200 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a read that failed: long
@@ -57,11 +64,22 @@
 	Operator(key string) (configuration bool, domain string)
 }
 
+// Relay knows what other entries have read. Ages count from before an ask.
+type Relay interface {
+	// Reader reports whether this entry is to read a topic for others.
+	Reader(topic sequoialead.Topic, entries []members.Entry) bool
+	// Read asks the entries that read for others, and Rescue any others. They
+	// report false if this entry is to read the store itself.
+	Read(ctx context.Context, ask frame.Ask, entries []members.Entry, age time.Duration) (news frame.News, from string, ok bool)
+	Rescue(ctx context.Context, ask frame.Ask, entries []members.Entry, age time.Duration) (news frame.News, from string, ok bool)
+}
+
 // Options configures a watcher.
 type Options struct {
 	// Self is this entry.
 	Self    members.Entry
 	Store   sequoialead.Store
+	Relay   Relay
 	Decoder Decoder
 	Log     klog.Logger
 	// Now is a clock that counts suspension.
@@ -92,6 +110,8 @@
 	members *members.Members
 	// offsets holds the newest offset applied of each key of the operator.
 	offsets map[string]uint64
+	// followers holds the state of each topic.
+	followers map[sequoialead.Topic]*follower
 }
 
 var _ sequoialead.Service = (*Watcher)(nil)
@@ -105,18 +125,21 @@
 		roster:       roster.New(),
 		members:      members.New(members.Options{Self: opts.Self, Assumed: opts.Assumed, Life: 4 * entriesPace}),
 		offsets:      map[string]uint64{},
+		followers:    map[sequoialead.Topic]*follower{},
 	}
 }
 
 // Start begins to read. It does not wait for the store.
 func (w *Watcher) Start(context.Context) error {
-	w.follow(follower{
-		topic: sequoialead.TopicOperator, pace: w.operatorPace(), apply: w.takeOperator, renew: w.lease,
+	w.follow(&follower{
+		topic: sequoialead.TopicOperator, pace: w.operatorPace(), apply: w.takeOperator, lease: w.lease,
 	})
-	w.follow(follower{
-		topic: sequoialead.TopicServers, pace: time.Duration(serversShare * float64(w.opts.Drain)), apply: w.takeServers, renew: w.serversLease,
+	w.follow(&follower{
+		topic: sequoialead.TopicServers, pace: time.Duration(serversShare * float64(w.opts.Drain)), apply: w.takeServers, lease: w.serversLease,
+	})
+	w.follow(&follower{
+		topic: sequoialead.TopicEntries, pace: entriesPace, first: entriesFirst, apply: w.takeEntries, lease: lease.New(),
 	})
-	w.follow(follower{topic: sequoialead.TopicEntries, pace: entriesPace, first: entriesFirst, apply: w.takeEntries})
 	w.tomb.Go(w.announce)
 	return nil
 }
@@ -165,121 +188,15 @@
 	return w.members.All(now)
 }
 
-// take applies one page. The page holds the newest of all keys if whole is set.
-type take func(page sequoialead.Page, whole bool, now time.Time)
-
-// follow reads one topic until the watcher closes.
-func (w *Watcher) follow(f follower) {
-	f.w = w
-	w.tomb.Go(f.run)
-}
-
-// follower reads one topic.
-type follower struct {
-	w     *Watcher
-	topic sequoialead.Topic
-	// pace is the time between the starts of reads, and first that between the
-	// first few if it is set.
-	pace  time.Duration
-	first time.Duration
-	reads int
-	apply take
-	// renew is nil if nothing depends on the age of the reads.
-	renew *lease.Lease
-	// next is the offset to read from, once whole was read.
-	next  uint64
-	known bool
-	down  bool
-}
-
-func (f *follower) run() error {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = retryFirst
-	pause.MaxInterval = retryMost
-	for f.w.tomb.Alive() {
-		began := f.w.opts.Now()
-		err := f.read(began)
-		if err == nil {
-			pause.Reset()
-			f.reads++
-			pace := f.pace
-			if f.first > 0 && f.reads < firstReads {
-				pace = f.first
-			}
-			f.sleep(pace - f.w.opts.Now().Sub(began))
-			continue
-		}
-		f.failed(err)
-		f.sleep(pause.NextBackOff())
-	}
-	return nil
-}
-
-func (f *follower) sleep(d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-f.w.tomb.Dying():
-	}
-}
-
-func (f *follower) read(began time.Time) error {
-	ctx, cancel := context.WithTimeout(f.w.tomb.Context(context.Background()), readTimeout)
-	defer cancel()
-	whole := !f.known
-	var page sequoialead.Page
-	var err error
-	if whole {
-		page, err = f.w.opts.Store.Newest(ctx, f.topic)
-	} else {
-		page, err = f.w.opts.Store.Since(ctx, f.topic, f.next)
-		if errorx.IsOfType(err, sequoialead.ErrGone) {
-			f.w.opts.Log.Info("history-gone", "topic", f.topic, "from", f.next)
-			f.known = false
-			return f.read(began)
-		}
-	}
-	if err != nil {
-		return err
-	}
-	if f.known && page.Next < f.next {
-		f.w.opts.Log.Info("stale-read", "topic", f.topic, "next", f.next, "got", page.Next)
-		return nil
-	}
-	f.next = page.Next
-	f.known = true
-	now := f.w.opts.Now()
-	f.w.mu.Lock()
-	if f.topic == sequoialead.TopicServers {
-		f.w.roster.Back(now)
-	}
-	f.apply(page, whole, now)
-	f.w.mu.Unlock()
-	if f.renew != nil {
-		f.renew.Renew(began)
-	}
-	if f.down {
-		f.down = false
-		f.w.opts.Log.Info("store-back", "topic", f.topic)
-	}
-	if len(page.Items) > 0 {
-		f.w.opts.Changed()
-	}
-	return nil
-}
-
-func (f *follower) failed(err error) {
-	if f.topic == sequoialead.TopicServers {
-		f.w.mu.Lock()
-		f.w.roster.Away()
-		f.w.mu.Unlock()
-	}
-	if !f.down && f.w.tomb.Alive() {
-		f.down = true
-		f.w.opts.Log.Error(err, "store-lost", "topic", f.topic)
+// Tell returns what this entry knows of a topic's records, for another entry.
+func (w *Watcher) Tell(ask frame.Ask) frame.News {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.followers[ask.Topic]
+	if f == nil || !f.known || ask.From > f.next {
+		return frame.News{}
 	}
+	age, read := f.lease.Age(w.opts.Now())
+	items, ok := f.tail.Since(ask.From)
+	return frame.News{Known: read && ok, Items: items, Next: f.next, Age: age}
 }
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -14,6 +14,7 @@
 
 	"sequoialead"
 	"sequoialead/common/line"
+	"sequoialead/core/frame"
 	"sequoialead/core/members"
 	"sequoialead/core/plan"
 	"sequoialead/core/watch"
@@ -30,6 +31,8 @@
 	down bool
 	// stale makes reads from an offset answer with an earlier end.
 	stale bool
+	// reads counts the reads from an offset.
+	reads int
 }
 
 func (s *store) put(topic sequoialead.Topic, key, value string) {
@@ -67,6 +70,7 @@
 func (s *store) Since(_ context.Context, topic sequoialead.Topic, from uint64) (sequoialead.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	switch {
 	case s.down:
 		return sequoialead.Page{}, sequoialead.ErrPlatform.New("down")
@@ -114,10 +118,41 @@
 	return key == "config", ""
 }
 
-func begin(t *testing.T, s *store) *watch.Watcher {
+// mates are the other entries as one entry sees them.
+type mates struct {
+	// reader is asked in place of the store, and rescuer once the store fails.
+	reader  *watch.Watcher
+	rescuer *watch.Watcher
+	reads   bool
+	// late is how much older than they are the answers say to be.
+	late time.Duration
+}
+
+func (m *mates) Reader(sequoialead.Topic, []members.Entry) bool { return m.reads }
+
+func (m *mates) Read(_ context.Context, ask frame.Ask, _ []members.Entry, age time.Duration) (frame.News, string, bool) {
+	return m.tell(m.reader, ask, age)
+}
+
+func (m *mates) Rescue(_ context.Context, ask frame.Ask, _ []members.Entry, age time.Duration) (frame.News, string, bool) {
+	return m.tell(m.rescuer, ask, age)
+}
+
+func (m *mates) tell(w *watch.Watcher, ask frame.Ask, age time.Duration) (frame.News, string, bool) {
+	if w == nil {
+		return frame.News{}, "", false
+	}
+	news := w.Tell(ask)
+	news.Age += m.late
+	return news, "mate", news.Known && news.Age <= age
+}
+
+func begin(t *testing.T, s *store) *watch.Watcher { return beginWith(t, s, &mates{}) }
+
+func beginWith(t *testing.T, s *store, m *mates) *watch.Watcher {
 	t.Helper()
 	w := watch.New(watch.Options{
-		Self: members.Entry{Name: "e"}, Store: s, Decoder: decoder{}, Log: line.New(io.Discard, 0, time.Now),
+		Self: members.Entry{Name: "e"}, Store: s, Relay: m, Decoder: decoder{}, Log: line.New(io.Discard, 0, time.Now),
 		Now: time.Now, Apply: 40 * time.Millisecond, Revoke: 2 * time.Second, Drain: time.Second, Assumed: 16, Changed: func() {},
 	})
 	qt.Assert(t, w.Start(context.Background()), qt.IsNil)
@@ -207,3 +242,72 @@
 	s.put(sequoialead.TopicEntries, "broken", "not CBOR")
 	qt.Assert(t, w.Members(time.Now()), qt.HasLen, 1)
 }
+
+// entry returns an entry whose store holds a configuration and a backend server,
+// and its store.
+func entry(t *testing.T, m *mates) (*watch.Watcher, *store) {
+	t.Helper()
+	s := &store{records: map[sequoialead.Topic][]sequoialead.Item{}}
+	s.put(sequoialead.TopicOperator, "config", "1")
+	s.put(sequoialead.TopicServers, "s", "draft")
+	w := beginWith(t, s, m)
+	wait(t, "version 1", func() bool { return version(w) == 1 && len(w.Usable(time.Now())) == 1 })
+	return w, s
+}
+
+// An entry whose records another one reads leaves the store alone.
+func TestRecordsComeFromTheReader(t *testing.T) {
+	c := qt.New(t)
+	reader, store := entry(t, &mates{reads: true})
+	w, own := entry(t, &mates{reader: reader})
+	wait(t, "the lease", func() bool { return w.Lease().Holds(time.Now(), 100*time.Millisecond) })
+	own.set(func() { own.reads = 0 })
+	store.put(sequoialead.TopicOperator, "config", "2")
+	store.put(sequoialead.TopicOperator, "out/a", "{}")
+	wait(t, "version 2", func() bool { return version(w) == 2 && len(w.Usable(time.Now())) == 0 })
+	own.set(func() { c.Check(own.reads, qt.Equals, 0) })
+}
+
+// An entry that the store turns away goes by what another one reads.
+func TestEntryThatIsTurnedAwayIsTold(t *testing.T) {
+	other, store := entry(t, &mates{})
+	w, own := entry(t, &mates{rescuer: other})
+	own.set(func() { own.down = true })
+	store.put(sequoialead.TopicOperator, "config", "2")
+	store.put(sequoialead.TopicServers, "s", "")
+	wait(t, "version 2", func() bool { return version(w) == 2 && len(w.Usable(time.Now())) == 0 })
+	wait(t, "the lease", func() bool { return w.Lease().Holds(time.Now(), 100*time.Millisecond) })
+	store.set(func() { store.down = true })
+	wait(t, "the lease's end", func() bool { return !w.Lease().Holds(time.Now(), 100*time.Millisecond) })
+}
+
+// What is told is as old as the read that it comes from: the ages add up.
+func TestAgesOfWhatIsToldAddUp(t *testing.T) {
+	c := qt.New(t)
+	other, store := entry(t, &mates{})
+	const late = 15 * time.Millisecond // of the 40 ms that the rescue allows
+	w, own := entry(t, &mates{rescuer: other, late: late})
+	own.set(func() { own.down = true })
+	store.put(sequoialead.TopicOperator, "config", "2")
+	wait(t, "version 2", func() bool { return version(w) == 2 })
+	for range 20 {
+		age, _ := w.Lease().Age(time.Now())
+		c.Assert(age >= late, qt.IsTrue, qt.Commentf("%s", age))
+		time.Sleep(3 * time.Millisecond)
+	}
+}
+
+// An entry that does not hold what was asked for says so.
+func TestTellSaysWhatItDoesNotKnow(t *testing.T) {
+	c := qt.New(t)
+	w, s := entry(t, &mates{})
+	c.Assert(w.Tell(frame.Ask{Topic: "other"}).Known, qt.IsFalse)
+	c.Assert(w.Tell(frame.Ask{Topic: sequoialead.TopicOperator, From: 0}).Known, qt.IsFalse) // read as the newest of each key
+	c.Assert(w.Tell(frame.Ask{Topic: sequoialead.TopicOperator, From: 9}).Known, qt.IsFalse)
+	s.put(sequoialead.TopicOperator, "config", "2")
+	wait(t, "version 2", func() bool { return version(w) == 2 })
+	news := w.Tell(frame.Ask{Topic: sequoialead.TopicOperator, From: 1})
+	c.Assert(news.Known, qt.IsTrue)
+	c.Assert(news.Next, qt.Equals, uint64(2))
+	c.Assert(news.Items, qt.DeepEquals, []sequoialead.Item{{Key: "config", Value: []byte("2"), Offset: 1}})
+}
--- a/io/sibling/order.go
+++ b/io/sibling/order.go
@@ -23,6 +23,9 @@
 	last   uint64
 	// pending holds the orders that were not answered.
 	pending map[uint64]*asked
+	// asks holds the asks for records that were not answered. Their channels are
+	// closed if the connection is lost.
+	asks map[uint64]chan frame.News
 }
 
 // asked is an order that was sent.
@@ -138,6 +141,10 @@
 		if len(f.Drop.Results) > 0 {
 			c.s.opts.Handler.Dropped(f.Drop.Results)
 		}
+	case f.Ask != nil:
+		news := c.s.opts.Handler.Tell(*f.Ask)
+		news.ID = f.Ask.ID
+		l.Post(frame.Frame{News: &news})
 	case f.Beat != nil:
 		c.s.mu.Lock()
 		leaving := c.s.leaving
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -45,6 +45,8 @@
 	// Backlogs returns what waits here for the backend servers that this entry
 	// leads, by pool.
 	Backlogs() map[string]frame.Backlog
+	// Tell returns what this entry knows of the store's records.
+	Tell(ask frame.Ask) frame.News
 	// Heard takes what another entry says of what waits there.
 	Heard(entry string, backlogs map[string]frame.Backlog)
 }
@@ -145,7 +147,7 @@
 	if !s.addrs[name].IsValid() || !s.tomb.Alive() {
 		return false
 	}
-	p = &peer{name: name, pending: map[uint64]*asked{}}
+	p = &peer{name: name, pending: map[uint64]*asked{}, asks: map[uint64]chan frame.News{}}
 	s.peers[name] = p
 	s.tomb.Go(func() error {
 		s.maintain(p)
@@ -244,6 +246,10 @@
 		close(order.done)
 		delete(p.pending, id)
 	}
+	for id, news := range p.asks {
+		close(news)
+		delete(p.asks, id)
+	}
 	s.mu.Unlock()
 	s.opts.Log.Info("sibling-lost", "entry", p.name, "err", l.Err())
 	s.opts.Changed()
@@ -270,6 +276,11 @@
 		if len(f.Made.Results) > 0 && p.link != nil {
 			p.link.Post(frame.Frame{Drop: &frame.Drop{Results: f.Made.Results}})
 		}
+	case f.News != nil:
+		if news, ok := p.asks[f.News.ID]; ok {
+			delete(p.asks, f.News.ID)
+			news <- *f.News
+		}
 	case f.Beat != nil:
 		if f.Beat.Leaving && !p.leaving {
 			go s.opts.Changed() // it takes no more orders
--- a/io/sibling/sibling_test.go
+++ b/io/sibling/sibling_test.go
@@ -13,6 +13,7 @@
 	"goji.io"
 	"k8s.io/klog/v2"
 
+	"sequoialead"
 	"sequoialead/core/frame"
 	"sequoialead/core/members"
 	"sequoialead/io/sibling"
@@ -51,6 +52,13 @@
 	return map[string]frame.Backlog{"a": {Calls: 3, Pieces: []int{0, 5}}}
 }
 
+func (h *handler) Tell(ask frame.Ask) frame.News {
+	return frame.News{
+		Known: ask.Topic == sequoialead.TopicServers, Next: ask.From + 1, Age: time.Second,
+		Items: []sequoialead.Item{{Key: "k", Value: []byte("v"), Offset: ask.From}},
+	}
+}
+
 func (h *handler) Heard(entry string, backlogs map[string]frame.Backlog) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -117,6 +125,20 @@
 	c.Assert(ok, qt.IsFalse)
 }
 
+func TestRecordsAreTold(t *testing.T) {
+	c := qt.New(t)
+	near, far, _ := couple(t)
+	news, ok := near.Ask(context.Background(), "far", frame.Ask{Topic: sequoialead.TopicServers, From: 7})
+	c.Assert(ok && news.Known, qt.IsTrue)
+	c.Assert(news.Items, qt.DeepEquals, []sequoialead.Item{{Key: "k", Value: []byte("v"), Offset: 7}})
+	c.Assert(news.Next, qt.Equals, uint64(8))
+	c.Assert(news.Age, qt.Equals, time.Second)
+	c.Assert(far.Close(), qt.IsNil)
+	until(t, "the loss", func() bool { return near.Lost("far") })
+	_, ok = near.Ask(context.Background(), "far", frame.Ask{Topic: sequoialead.TopicServers, From: 7})
+	c.Assert(ok, qt.IsFalse)
+}
+
 func TestLostConnectionEndsOrders(t *testing.T) {
 	c := qt.New(t)
 	near, far, h := couple(t)
--- a/passage.go
+++ b/passage.go
@@ -164,10 +164,10 @@
 
 // Item is a keyed record of the platform's store.
 type Item struct {
-	Key string
+	Key string `cbor:"1,keyasint"`
 	// Value is empty if the key was dropped.
-	Value  []byte
-	Offset uint64
+	Value  []byte `cbor:"2,keyasint,omitempty"`
+	Offset uint64 `cbor:"3,keyasint"`
 }
 
 // Page is the result of one read of keyed records.
