batch: Take one retry for the failed pieces of an order

The budget of a pool for pieces had its fixed part alone, divided by the entries, since orders were never counted as requests; and each piece of an order took one retry.

Change: an order counts as a request, and the pieces of it that one call failed take one retry together. TestFailedPiecesTakeOneRetry fails without either.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -30,6 +30,8 @@
 	Take(name string, want pool.Want) (*pool.Place, sequoialead.Reason)
 	First(name string, place *pool.Place)
 	Give(name string, place *pool.Place, end pool.End, load *sequoialead.Occupancy)
+	// Request counts an order for a pool, which adds to its budget of retries.
+	Request(name string)
 	// Repeat takes one retry from a pool's budget, if there is any.
 	Repeat(name string) bool
 }
@@ -134,6 +136,7 @@
 // piece fails, the others' results are given up.
 func (b *Batcher) Make(ctx context.Context, order Order) ([]Result, sequoialead.Reason) {
 	g := newGroup(order, b.opts.Now())
+	b.opts.Pools.Request(order.Pool)
 	b.mu.Lock()
 	q := b.queue(order.Pool)
 	q.waiting = append(q.waiting, g)
--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -56,6 +56,7 @@
 	}
 	roomless := 0
 	server := c.place.Server
+	paid := map[*group]bool{}
 	for i, j := range c.batch {
 		m := sequoialead.Made{Reason: sequoialead.ReasonBackend}
 		if err == nil {
@@ -64,7 +65,7 @@
 		if m.Reason == sequoialead.ReasonRoom {
 			roomless++
 		}
-		b.settleOne(c.q, j, m, server)
+		b.settleOne(c.q, j, m, server, paid)
 	}
 	if roomless > 0 {
 		b.ledger.noRoom(server.ID, c.place.Own, b.opts.Now())
@@ -79,7 +80,9 @@
 	b.pump(c.q)
 }
 
-func (b *Batcher) settleOne(q *queue, j *job, m sequoialead.Made, server sequoialead.Server) {
+// settleOne ends one piece or queues it again. An order takes one retry from the
+// budget for all its pieces that the call failed; paid tells whether it got one.
+func (b *Batcher) settleOne(q *queue, j *job, m sequoialead.Made, server sequoialead.Server, paid map[*group]bool) {
 	g := j.group
 	if m.Handle != "" {
 		r := Result{Handle: m.Handle, Maker: server, Bytes: j.piece.Bytes}
@@ -94,18 +97,24 @@
 	if g.dropped || g.over {
 		return
 	}
-	if m.Reason != sequoialead.ReasonRoom && !b.again(q, j, m.Reason, server) {
+	if m.Reason != sequoialead.ReasonRoom && !b.again(q, j, m.Reason, server, paid) {
 		return
 	}
 	q.back(j)
 }
 
 // again reports whether a piece that failed is asked for once more.
-func (b *Batcher) again(q *queue, j *job, reason sequoialead.Reason, server sequoialead.Server) bool {
+func (b *Batcher) again(q *queue, j *job, reason sequoialead.Reason, server sequoialead.Server, paid map[*group]bool) bool {
 	g := j.group
 	g.tries++
-	final := reason == sequoialead.ReasonGone || reason == sequoialead.ReasonLate
-	if final || g.tries >= mostTries*len(g.order.Pieces) || !b.opts.Pools.Repeat(q.name) {
+	again := reason != sequoialead.ReasonGone && reason != sequoialead.ReasonLate && g.tries < mostTries*len(g.order.Pieces)
+	if again {
+		if _, asked := paid[g]; !asked {
+			paid[g] = b.opts.Pools.Repeat(q.name)
+		}
+		again = paid[g]
+	}
+	if !again {
 		b.opts.Log.Info("piece-failed", "id", j.piece.Request, "stage", j.piece.Stage, "pool", q.name, "server", server.ID, "reason", reason, "tries", g.tries)
 		g.fail(reason)
 		return false
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -158,6 +158,7 @@
 }
 func (p *place) Own(string) int                                             { return 1 }
 func (p *place) Has(string, string) bool                                    { return true }
+func (p *place) Request(string)                                             {}
 func (p *place) Repeat(string) bool                                         { return true }
 func (p *place) First(string, *pool.Place)                                  {}
 func (p *place) Give(string, *pool.Place, pool.End, *sequoialead.Occupancy) {}
--- /dev/null
+++ b/core/batch/retry_test.go
@@ -0,0 +1,93 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"k8s.io/klog/v2"
+
+	"sequoialead"
+	"sequoialead/core/plan"
+	"sequoialead/core/pool"
+)
+
+// flaky fails each piece of the first calls, and has a budget of retries that
+// orders fill.
+type flaky struct {
+	fail     int
+	calls    []string
+	orders   int
+	retries  int
+	perOrder int
+}
+
+func (f *flaky) Make(_ context.Context, server sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.Made, *sequoialead.Occupancy, error) {
+	f.calls = append(f.calls, server.ID)
+	made := make([]sequoialead.Made, len(pieces))
+	for i := range made {
+		if len(f.calls) <= f.fail {
+			made[i].Reason = sequoialead.ReasonBackend
+		} else {
+			made[i].Handle = "h"
+		}
+	}
+	return made, nil, nil
+}
+func (f *flaky) Free(context.Context, sequoialead.Server, []string) error { return nil }
+func (f *flaky) Conf(string) *plan.Pool {
+	return &plan.Pool{Pieces: &plan.Pieces{Batch: 4, Room: 100, Call: time.Minute}}
+}
+func (f *flaky) Own(string) int          { return 1 }
+func (f *flaky) Has(string, string) bool { return true }
+func (f *flaky) Request(string)          { f.orders++ }
+func (f *flaky) Repeat(string) bool {
+	f.retries++
+	return f.retries <= f.perOrder*f.orders
+}
+func (f *flaky) First(string, *pool.Place)                                  {}
+func (f *flaky) Give(string, *pool.Place, pool.End, *sequoialead.Occupancy) {}
+func (f *flaky) Take(_ string, want pool.Want) (*pool.Place, sequoialead.Reason) {
+	for _, id := range []string{"s1", "s2", "s3"} {
+		if s := (sequoialead.Server{ID: id}); !want.Tried[id] && want.Fits(s, true) {
+			return &pool.Place{Server: s, Own: true}, ""
+		}
+	}
+	return nil, sequoialead.ReasonNone
+}
+
+// The pieces of an order that one call failed are asked for again together, and
+// take one retry from a budget that orders add to.
+func TestFailedPiecesTakeOneRetry(t *testing.T) {
+	tests := []struct {
+		desc     string
+		fail     int
+		perOrder int
+		reason   sequoialead.Reason
+		calls    []string
+		retries  int
+	}{
+		{"one call fails", 1, 1, "", []string{"s1", "s2"}, 1},
+		{"two fail, and the budget has one retry", 2, 1, sequoialead.ReasonBackend, []string{"s1", "s2"}, 2},
+		{"two fail", 2, 2, "", []string{"s1", "s2", "s3"}, 2},
+		{"no budget", 1, 0, sequoialead.ReasonBackend, []string{"s1"}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			f := &flaky{fail: test.fail, perOrder: test.perOrder}
+			b := New(Options{Maker: f, Pools: f, Log: klog.Logger{}, Now: start})
+			c.Assert(b.Start(context.Background()), qt.IsNil)
+			results, reason := b.Make(context.Background(), order("a", 3, 0, time.Second).order)
+			c.Assert(b.Close(), qt.IsNil)
+			c.Assert(reason, qt.Equals, test.reason)
+			c.Assert(f.calls, qt.DeepEquals, test.calls)
+			c.Assert(f.orders, qt.Equals, 1)
+			c.Assert(f.retries, qt.Equals, test.retries)
+			whole := len(results) == 3 && !slices.ContainsFunc(results, func(r Result) bool { return r.Handle == "" })
+			c.Assert(whole, qt.Equals, test.reason == "")
+		})
+	}
+}
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -42,6 +42,7 @@
 }
 func (s *site) Own(string) int            { return 1 }
 func (s *site) Has(string, string) bool   { return true }
+func (s *site) Request(string)            {}
 func (s *site) Repeat(string) bool        { return true }
 func (s *site) First(string, *pool.Place) {}
 func (s *site) Take(string, pool.Want) (*pool.Place, sequoialead.Reason) {
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -196,5 +196,13 @@
 	s.f.pool(name).Give(place, end, load, now)
 }
 
+// Request counts an order for a pool.
+func (s shared) Request(name string) {
+	now := s.f.opts.Now()
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	s.f.pool(name).Retries().Request(now)
+}
+
 // Repeat takes one retry from a pool's budget, if there is any.
 func (s shared) Repeat(name string) bool { return s.f.spend(name) }
