batch: Count room as taken until results were dropped

Cause: a maker's room counted as free once its results were to be given up, 10 ms and a message before the maker dropped them.

Change: room is free once the drop was answered, or given up.

Inputs that are gone have another cause as well.

--- a/core/batch/ledger.go
+++ b/core/batch/ledger.go
@@ -37,6 +37,8 @@
 type returns struct {
 	maker   sequoialead.Server
 	handles []string
+	// bytes is the size of those that this entry had made.
+	bytes int
 }
 
 func newLedger() *ledger {
@@ -82,7 +84,7 @@
 	}
 	known.handles = append(known.handles, r.Handle)
 	if r.By == "" {
-		l.unhold(r.Maker.ID, r.Bytes)
+		known.bytes += r.Bytes
 	}
 }
 
@@ -127,12 +129,19 @@
 	}
 }
 
-// drop has results dropped by their maker. After a failure the maker drops them
-// by itself once it has held them for its time.
+// drop has results dropped by their maker. Their room counts as taken until then,
+// since a call that overtakes the drop would find none. After a failure the maker
+// drops them by itself once it has held them for its time.
 func (b *Batcher) drop(r *returns) {
 	ctx, cancel := context.WithTimeout(b.tomb.Context(context.Background()), freeTimeout)
 	defer cancel()
 	if err := b.opts.Maker.Free(ctx, r.maker, r.handles); err != nil {
 		b.opts.Log.V(1).Info("free-failed", "server", r.maker.ID, "handles", len(r.handles), "err", err)
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledger.unhold(r.maker.ID, r.bytes)
+	for _, q := range b.queues {
+		b.pump(q)
+	}
 }
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -235,8 +235,11 @@
 	l.hold("s", 70)
 	c.Assert(l.room(100, "s", true, start()), qt.Equals, 30)
 	l.giveUp(Result{Handle: "h", Maker: sequoialead.Server{ID: "s"}, Bytes: 70})
+	l.giveUp(Result{Handle: "foreign", Maker: sequoialead.Server{ID: "s"}, Bytes: 20, By: "another"})
+	c.Assert(l.room(100, "s", true, start()), qt.Equals, 30) // until they were dropped
+	c.Assert(l.unwanted["s"].handles, qt.DeepEquals, []string{"h", "foreign"})
+	l.unhold("s", l.unwanted["s"].bytes)
 	c.Assert(l.room(100, "s", true, start()), qt.Equals, 100)
-	c.Assert(l.unwanted["s"].handles, qt.DeepEquals, []string{"h"})
 	l.noRoom("s", true, start())
 	c.Assert(l.room(100, "s", true, start()), qt.Equals, 0)
 	c.Assert(l.room(100, "s", true, start().Add(ownPause)), qt.Equals, 100)
