delegate, forward: Give up read inputs early only where room is scarce

Change: a leader tells which part of its servers' room is taken, and inputs are given up early only above half. In bursts nothing changes.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -173,13 +173,17 @@
 
 // Backlog returns what waits for a pool's backend servers.
 func (b *Batcher) Backlog(name string) frame.Backlog {
-	own, size := b.opts.Pools.Own(name), 1
+	own, size, room := max(b.opts.Pools.Own(name), 1), 1, 0
 	if conf := b.opts.Pools.Conf(name); conf != nil && conf.Pieces != nil {
-		size = conf.Pieces.Batch
+		size, room = conf.Pieces.Batch, conf.Pieces.Room
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.queue(name).backlog(size, max(own, 1))
+	l := b.queue(name).backlog(size, own)
+	if room > 0 {
+		l.Held = float64(b.ledger.total(name)) / float64(room*own)
+	}
+	return l
 }
 
 func (b *Batcher) queue(name string) *queue {
@@ -217,7 +221,7 @@
 		}
 		c := &call{q: q, conf: conf, place: place, batch: q.take(conf.Pieces.Batch, place.Server, room, b.patient(q, conf, now))}
 		for _, j := range c.batch {
-			b.ledger.hold(place.Server.ID, j.piece.Bytes)
+			b.ledger.hold(q.name, place.Server.ID, j.piece.Bytes)
 		}
 		q.calls++
 		q.started(len(c.batch))
--- a/core/batch/ledger.go
+++ b/core/batch/ledger.go
@@ -29,6 +29,8 @@
 	// held is the number of bytes of results that each backend server holds for
 	// this entry, made or being made.
 	held map[string]int
+	// pools names the pool of each of them.
+	pools map[string]string
 	// full is until when a backend server is taken to have no room.
 	full map[string]time.Time
 }
@@ -42,7 +44,7 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{unwanted: map[string]*returns{}, held: map[string]int{}, full: map[string]time.Time{}}
+	return &ledger{unwanted: map[string]*returns{}, held: map[string]int{}, pools: map[string]string{}, full: map[string]time.Time{}}
 }
 
 // room returns how many bytes of results a backend server may take.
@@ -66,13 +68,28 @@
 	l.full[server] = now.Add(pause)
 }
 
-func (l *ledger) hold(server string, bytes int) { l.held[server] += bytes }
+func (l *ledger) hold(pool, server string, bytes int) {
+	l.held[server] += bytes
+	l.pools[server] = pool
+}
 
 func (l *ledger) unhold(server string, bytes int) {
 	l.held[server] -= bytes
 	if l.held[server] <= 0 {
 		delete(l.held, server)
+		delete(l.pools, server)
+	}
+}
+
+// total returns the number of bytes held by the backend servers of a pool.
+func (l *ledger) total(pool string) int {
+	n := 0
+	for server, bytes := range l.held {
+		if l.pools[server] == pool {
+			n += bytes
+		}
 	}
+	return n
 }
 
 // giveUp notes a result that nobody needs.
--- a/core/batch/retry_test.go
+++ b/core/batch/retry_test.go
@@ -91,3 +91,13 @@
 		})
 	}
 }
+
+func TestBacklogTellsHowMuchRoomIsTaken(t *testing.T) {
+	c := qt.New(t)
+	f := &flaky{}
+	b := New(Options{Maker: f, Pools: f, Log: klog.Logger{}, Now: start})
+	c.Assert(b.Backlog("p").Held, qt.Equals, 0.0)
+	b.ledger.hold("p", "s1", 60) // of 100
+	b.ledger.hold("other", "s2", 30)
+	c.Assert(b.Backlog("p").Held, qt.Equals, 0.6)
+}
--- a/core/delegate/delegate.go
+++ b/core/delegate/delegate.go
@@ -231,16 +231,31 @@
 }
 
 func (d *Delegate) estimate(conf *plan.Pool, leader string, rank, pieces int) time.Duration {
+	return batch.Estimate(conf.Pieces, d.backlog(conf.Name, leader), rank, pieces)
+}
+
+// backlog returns what waits at a leader; nothing if it is not known.
+func (d *Delegate) backlog(pool, leader string) frame.Backlog {
 	if leader == "" {
-		return batch.Estimate(conf.Pieces, d.opts.Batcher.Backlog(conf.Name), rank, pieces)
+		return d.opts.Batcher.Backlog(pool)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.backlogs[[2]string{conf.Name, leader}]
+	r := d.backlogs[[2]string{pool, leader}]
 	if d.opts.Now().Sub(r.at) > backlogLife {
-		r.backlog = frame.Backlog{}
+		return frame.Backlog{}
 	}
-	return batch.Estimate(conf.Pieces, r.backlog, rank, pieces)
+	return r.backlog
+}
+
+// scarceShare is the part of the room for results above which those that were read
+// are given up before it is certain that they are not needed again: with less
+// taken, a whole call still fits beside those that are held.
+const scarceShare = 0.5
+
+// Scarce reports whether the makers of a pool's results need their room back.
+func (d *Delegate) Scarce(pool string, results []batch.Result) bool {
+	return len(results) > 0 && d.backlog(pool, results[0].By).Held > scarceShare
 }
 
 // Backlogs returns what waits here for the backend servers that this entry leads,
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -154,6 +154,19 @@
 	c.Assert(d.Estimate(conf, "r", 0, 1) >= before+time.Second, qt.IsTrue) // ten calls of four pieces
 }
 
+// Results that were read are given up early only where their makers need the room.
+func TestRoomIsScarceByWhatTheMakersLeaderSays(t *testing.T) {
+	c := qt.New(t)
+	d := build(t, &site{reached: true})
+	results := []batch.Result{{Handle: "h", By: "leader"}}
+	c.Assert(d.Scarce("encode", results), qt.IsFalse) // nothing is known
+	d.Heard("leader", map[string]frame.Backlog{"encode": {Held: 0.6}})
+	c.Assert(d.Scarce("encode", results), qt.IsTrue)
+	c.Assert(d.Scarce("encode", nil), qt.IsFalse)
+	d.Heard("leader", map[string]frame.Backlog{"encode": {Held: 0.4}})
+	c.Assert(d.Scarce("encode", results), qt.IsFalse)
+}
+
 func TestWhatIsLedHereIsTold(t *testing.T) {
 	c := qt.New(t)
 	d := build(t, &site{})
--- a/core/forward/stages.go
+++ b/core/forward/stages.go
@@ -58,7 +58,13 @@
 				Pool: name, Conf: shared{f}.Conf(name), Rank: j.urgency, Pieces: piecesOf(j, i, count, results), Domain: f.near(j, i, results),
 				Due:   j.passage.Arrived.Add(j.route.Aim - f.after(j, counts, i)),
 				Until: j.stagesUntil(),
-				Read:  read,
+				Read: func() {
+					for _, a := range after {
+						if f.delegate.Scarce(j.route.Stages[a].Pool, results[a]) {
+							read() // a piece that fails may find its inputs gone then
+						}
+					}
+				},
 			})
 			took := f.opts.Now().Sub(start)
 			f.counts.stage(name, took)
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -148,6 +148,8 @@
 	Calls   int `cbor:"3,keyasint"`
 	// Pieces counts the waiting pieces that are not late, by rank.
 	Pieces []int `cbor:"4,keyasint,omitempty"`
+	// Held is the part of the room for results that is taken.
+	Held float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Drop gives up an order, results, or both.
