soak: Proxies between entries, one-way cuts, and checks after the faults

Each entry's way to the store and the others' way to it go through a proxy of their own, which needs an address to announce that is not the one listened on (`reach`); proxies cut one way only; once the faults are over, a new version and a backend server that leaves must be known within their bounds at each entry. SOAK_ENTRIES sets the number of processes.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -104,7 +104,7 @@
 		Name: s.name, Log: log, Changed: changed,
 		Handler: &helper{delegate: func() *delegate.Delegate { return forwarder.Delegate() }, watcher: func() *watch.Watcher { return watcher }},
 	})
-	self := members.Entry{Name: s.name, Domain: s.domain, Addr: s.peers}
+	self := members.Entry{Name: s.name, Domain: s.domain, Addr: s.announced()}
 	watcher = watch.New(watch.Options{
 		Self:    self,
 		Store:   platform.NewStore(client, s.store),
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -17,11 +17,13 @@
 
 // gatewaySettings are the settings of an entry on the users' platform.
 type gatewaySettings struct {
-	name    string
-	domain  string
-	addr    netip.AddrPort
-	ready   netip.AddrPort
-	peers   netip.AddrPort
+	name   string
+	domain string
+	addr   netip.AddrPort
+	ready  netip.AddrPort
+	peers  netip.AddrPort
+	// reach is where other entries find peers, if that is another address.
+	reach   netip.AddrPort
 	metrics netip.AddrPort
 	store   netip.AddrPort
 	// memory is the most that the process may use, in megabytes.
@@ -59,6 +61,7 @@
 	flags.TextVar(&s.addr, "addr", netip.AddrPort{}, "IP:PORT to listen on for callers")
 	flags.TextVar(&s.ready, "ready", netip.AddrPort{}, "IP:PORT to listen on for the balancer's readiness checks")
 	flags.TextVar(&s.peers, "peers", netip.AddrPort{}, "IP:PORT to listen on for the other entries")
+	flags.TextVar(&s.reach, "reach", netip.AddrPort{}, "IP:PORT where the other entries reach peers, if not there")
 	flags.TextVar(&s.metrics, "metrics", netip.AddrPort{}, "IP:PORT to serve metrics on; none if missing")
 	flags.TextVar(&s.store, "store", netip.AddrPort{}, "IP:PORT of the platform's store")
 	flags.IntVar(&s.memory, "memory", defaultGatewayMemory, "the most memory in megabytes, such as 256")
@@ -75,6 +78,14 @@
 	flags.IntVar(&s.level, "level", 0, "the level of log events, from 0")
 }
 
+// announced returns the address that other entries are told.
+func (s *gatewaySettings) announced() netip.AddrPort {
+	if s.reach.IsValid() {
+		return s.reach
+	}
+	return s.peers
+}
+
 // bounds returns the settings that may change while the process runs.
 func (s *gatewaySettings) bounds() forward.Bounds {
 	return forward.Bounds{
--- a/fake/proxy/proxy.go
+++ b/fake/proxy/proxy.go
@@ -18,6 +18,10 @@
 type Fault struct {
 	// Cut lets nothing pass, neither on open connections nor on new ones.
 	Cut bool
+	// Mute and Deaf let nothing pass from the client to the server, and nothing
+	// from the server to the client: the other way works.
+	Mute bool
+	Deaf bool
 	// Refuse resets all connections and refuses new ones.
 	Refuse bool
 	// Delay holds up all data.
@@ -162,7 +166,7 @@
 }
 
 func (p *Proxy) open(client net.Conn) (*pair, bool) {
-	if !p.pass(nil) {
+	if !p.pass(nil, client) {
 		return nil, false
 	}
 	server, err := net.DialTimeout("tcp", p.target.String(), dialTimeout)
@@ -200,9 +204,9 @@
 	}
 }
 
-// pass waits while the network is cut. It reports false if the connection must
-// end.
-func (p *Proxy) pass(c *pair) bool {
+// pass waits while the network is cut for what a side sends. It reports false if
+// the connection must end.
+func (p *Proxy) pass(c *pair, side net.Conn) bool {
 	for p.tomb.Alive() {
 		p.mu.Lock()
 		f := p.fault
@@ -216,7 +220,8 @@
 		if f.Refuse {
 			return false
 		}
-		if !f.Cut && !silent {
+		cut := f.Cut || f.Mute && (c == nil || side == c.client) || f.Deaf && (c == nil || side == c.server)
+		if !cut && !silent {
 			return true
 		}
 		time.Sleep(cutPoll)
@@ -257,7 +262,7 @@
 	})
 	for d := range pieces {
 		time.Sleep(time.Until(d.due))
-		if !p.pass(c) {
+		if !p.pass(c, from) {
 			break
 		}
 		if _, err := to.Write(d.data); err != nil {
--- /dev/null
+++ b/fake/proxy/proxy_test.go
@@ -0,0 +1,61 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sequoialead/fake/proxy"
+)
+
+// cut by one way, a connection still carries the other.
+func TestOneWayCuts(t *testing.T) {
+	tests := []struct {
+		desc      string
+		fault     proxy.Fault
+		there     bool
+		backAgain bool
+	}{
+		{"healthy", proxy.Fault{}, true, true},
+		{"nothing reaches the server", proxy.Fault{Mute: true}, false, true},
+		{"nothing reaches the client", proxy.Fault{Deaf: true}, true, false},
+		{"nothing passes", proxy.Fault{Cut: true}, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer l.Close()
+			p, err := proxy.New(netip.MustParseAddrPort(l.Addr().String()))
+			c.Assert(err, qt.IsNil)
+			c.Assert(p.Start(context.Background()), qt.IsNil)
+			client, err := net.Dial("tcp", p.Addr().String())
+			c.Assert(err, qt.IsNil)
+			server, err := l.Accept()
+			c.Assert(err, qt.IsNil)
+			p.Fail(test.fault)
+			c.Assert(arrives(client, server), qt.Equals, test.there)
+			c.Assert(arrives(server, client), qt.Equals, test.backAgain)
+			p.Fail(proxy.Fault{})
+			_ = client.Close()
+			_ = server.Close()
+			c.Assert(p.Close(), qt.IsNil)
+		})
+	}
+}
+
+// arrives reports whether a byte gets from one end to the other in time.
+func arrives(from, to net.Conn) bool {
+	if _, err := from.Write([]byte("x")); err != nil {
+		return false
+	}
+	_ = to.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	_, err := io.ReadFull(to, make([]byte, 1))
+	return err == nil
+}
--- a/testscripts/gateway_test.go
+++ b/testscripts/gateway_test.go
@@ -34,7 +34,10 @@
 	procs []*gatewayProcess
 	// backends holds the stand-ins by ID.
 	backends map[string]*backend.Server
-	// proxied puts a proxy before the store and each backend server.
+	// registered holds what their records say.
+	registered map[string]backend.Options
+	// proxied puts a proxy before each backend server, and on each entry's way to
+	// the store and the others' way to it.
 	proxied bool
 	proxies []*proxy.Proxy
 	revoke  time.Duration
@@ -81,8 +84,8 @@
 
 func startGateways(t *testing.T, g *gateways, entries int) *gateways {
 	t.Helper()
-	g.t, g.dir, g.store, g.backends = t, t.TempDir(), store.New(), map[string]*backend.Server{}
-	g.addr = g.through(listen(t, g.store))
+	g.t, g.dir, g.store, g.backends, g.registered = t, t.TempDir(), store.New(), map[string]*backend.Server{}, map[string]backend.Options{}
+	g.addr = listen(t, g.store)
 	g.configure(1, 500, "")
 	for _, s := range []struct {
 		id, pool string
@@ -137,7 +140,7 @@
 		server.CloseClientConnections() // a silenced one would be waited for
 		server.Close()
 	})
-	g.backends[id] = s
+	g.backends[id], g.registered[id] = s, opts
 	g.register(id, pool, opts, "ready")
 }
 
@@ -160,8 +163,8 @@
 	p := &gatewayProcess{number: i, addrs: addrs, front: addrs[0], ready: addrs[1]}
 	p.config = filepath.Join(g.dir, fmt.Sprintf("gateway-%d.ini", i))
 	p.log = filepath.Join(g.dir, fmt.Sprintf("gateway-%d.log", i))
-	text := fmt.Sprintf("name = e%d\ndomain = a\naddr = %s\nready = %s\npeers = %s\nstore = %s\ngrace = 5s\nextra = 50\nrevoke = %s\n",
-		i, addrs[0], addrs[1], addrs[2], g.addr, g.revoke)
+	text := fmt.Sprintf("name = e%d\ndomain = a\naddr = %s\nready = %s\npeers = %s\nreach = %s\nstore = %s\ngrace = 5s\nextra = 50\nrevoke = %s\n",
+		i, addrs[0], addrs[1], addrs[2], g.through(addrs[2]), g.through(g.addr), g.revoke)
 	qt.Assert(g.t, os.WriteFile(p.config, []byte(text), 0o600), qt.IsNil)
 	g.run(p)
 	g.procs = append(g.procs, p)
--- a/testscripts/soak_test.go
+++ b/testscripts/soak_test.go
@@ -33,10 +33,21 @@
 	return n
 }
 
+// soakEntries returns the number of processes: three, or those that SOAK_ENTRIES
+// names.
+func soakEntries(t *testing.T) int {
+	n, err := strconv.Atoi(cmp.Or(os.Getenv("SOAK_ENTRIES"), "3"))
+	qt.Assert(t, err, qt.IsNil)
+	return n
+}
+
 const (
 	soakTime    = 5 * time.Second
 	soakCallers = 12
 	soakRevoke  = 1500 * time.Millisecond
+	// soakInForce is the time within which versions and backend servers that leave
+	// must be known: the defaults of apply and drain.
+	soakInForce = 2 * time.Second
 	// soakSlack is the time that a clock reading here and there may differ by.
 	soakSlack = 100 * time.Millisecond
 )
@@ -90,7 +101,7 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{gateways: &gateways{proxied: true, revoke: soakRevoke}, random: rand.New(rand.NewPCG(seed, seed))}
-	startGateways(t, s.gateways, 3)
+	startGateways(t, s.gateways, soakEntries(t))
 	t.Cleanup(s.keepLogs)
 	s.configure(2, 2000, `,"k2"`)
 	s.wait("the second key is in force everywhere", func() bool {
@@ -111,6 +122,7 @@
 	all.Go(func() { s.disturb(ctx) })
 	all.Wait()
 	s.heal()
+	s.settled()
 	s.check()
 }
 
@@ -185,7 +197,7 @@
 func (s *soak) fault(length time.Duration) func() {
 	p := s.procs[s.random.IntN(len(s.procs))]
 	hop := s.proxies[s.random.IntN(len(s.proxies))]
-	faults := []proxy.Fault{{Cut: true}, {Refuse: true}, {Delay: length / 4}, {Delay: length / 4, Odd: true}}
+	faults := []proxy.Fault{{Cut: true}, {Mute: true}, {Deaf: true}, {Refuse: true}, {Delay: length / 4}, {Delay: length / 4, Odd: true}}
 	stores := []store.Fault{{Down: true}, {Silent: true}, {LoseAnswers: true}, {Delay: length / 4}}
 	hits := []backend.Fault{backend.FaultLose, backend.FaultCut, backend.FaultError, backend.FaultShed, backend.FaultStranger, backend.FaultUnstamped}
 	switch s.random.IntN(11) {
@@ -302,6 +314,28 @@
 	}
 }
 
+// settled checks once the faults are over that each entry follows the operator
+// and the backend servers in time: what leaves gets nothing more.
+func (s *soak) settled() {
+	s.configure(4, 2000, "")
+	s.register("desk-1", "desk", s.registered["desk-1"], "draining")
+	time.Sleep(soakInForce)
+	before := len(s.backends["desk-1"].Seen())
+	for i, p := range s.procs {
+		for n := range 4 {
+			if status, _, _ := s.ask(p, "GET", "/check/", fmt.Sprintf("settled%d-%d", i, n), "k1"); status != http.StatusOK {
+				s.t.Errorf("entry %d answers with %d after the faults", i, status)
+			}
+		}
+		if status, _, _ := s.ask(p, "GET", "/check/", fmt.Sprintf("settled%d-k2", i), "k2"); status != http.StatusUnauthorized {
+			s.t.Errorf("entry %d answers a key that was taken away with %d", i, status)
+		}
+	}
+	if after := len(s.backends["desk-1"].Seen()); after != before {
+		s.t.Errorf("a backend server that leaves got %d requests", after-before)
+	}
+}
+
 // check compares what callers were told with what backend servers saw.
 func (s *soak) check() {
 	ran := map[string]int{}
@@ -317,7 +351,7 @@
 			if seen.Header.Get("Tenant") != "mere" || seen.Header.Get("Authorization") != "" {
 				s.t.Errorf("%s runs %s for %q", id, seen.ID, seen.Header.Get("Tenant"))
 			}
-			if !strings.HasPrefix(seen.ID, "warm") && !strings.HasPrefix(seen.ID, "healed") && seen.Body != "body of "+seen.ID {
+			if strings.Count(seen.ID, "-") == 2 && seen.Body != "body of "+seen.ID {
 				s.t.Errorf("%s gets %q for %s", id, seen.Body, seen.ID)
 			}
 		}
