batch, forward, watch: Count calls for pieces, waits, pauses of streams and reads

Histograms of the pieces and time of calls and of how long orders wait, by pool; of the longest pause of each stream; counters of waits for a place by reason, and of the reads of each topic by where they came from. Their labels are pools, topics and reasons of our own.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -111,6 +111,7 @@
 		Relay:   relay.New(relay.Options{Self: self, Peers: siblings, Now: bootclock.Now}),
 		Decoder: platform.Decoder{},
 		Log:     log,
+		Metrics: set,
 		Now:     bootclock.Now,
 		Apply:   s.apply,
 		Revoke:  s.revoke,
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 
@@ -41,7 +42,9 @@
 	Maker sequoialead.Maker
 	Pools Pools
 	Log   klog.Logger
-	Now   func() time.Time
+	// Metrics takes histograms.
+	Metrics *metrics.Set
+	Now     func() time.Time
 }
 
 // Order is what one request wants made by one pool.
@@ -99,8 +102,9 @@
 
 // Batcher has pieces made.
 type Batcher struct {
-	opts Options
-	tomb tomb.Tomb
+	opts   Options
+	tomb   tomb.Tomb
+	counts counts
 
 	mu     sync.Mutex
 	queues map[string]*queue
@@ -115,7 +119,7 @@
 
 // New returns a batcher.
 func New(opts Options) *Batcher {
-	return &Batcher{opts: opts, queues: map[string]*queue{}, ledger: newLedger(), freeing: make(chan struct{}, 1)}
+	return &Batcher{opts: opts, counts: counts{set: opts.Metrics}, queues: map[string]*queue{}, ledger: newLedger(), freeing: make(chan struct{}, 1)}
 }
 
 // Start begins to give up results.
@@ -225,6 +229,7 @@
 		}
 		q.calls++
 		q.started(len(c.batch))
+		b.counts.waited(q.name, c.batch, now)
 		b.reading(c)
 		b.tomb.Go(func() error {
 			b.run(c)
--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -72,6 +72,7 @@
 	}
 	if err == nil {
 		c.q.took(took)
+		b.counts.called(c.q.name, len(c.batch), took)
 		b.opts.Log.V(1).Info("pieces", "pool", c.q.name, "server", server.ID, "own", c.place.Own, "pieces", len(c.batch), "took", took,
 			"waiting", c.q.pieces(), "held", b.ledger.held[server.ID], "roomless", roomless, "load", load)
 	} else {
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
@@ -170,7 +171,7 @@
 func TestInputsAreReadBeforeResultsAreMade(t *testing.T) {
 	c := qt.New(t)
 	p := &place{started: make(chan struct{}), finish: make(chan struct{})}
-	b := New(Options{Maker: p, Pools: p, Now: start})
+	b := New(Options{Metrics: metrics.NewSet(), Maker: p, Pools: p, Now: start})
 	c.Assert(b.Start(context.Background()), qt.IsNil)
 	read, ended := make(chan struct{}), make(chan int, 1)
 	b.queue("").lead(1, start().Add(-sharedTime))
@@ -203,7 +204,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			b := New(Options{Now: start})
+			b := New(Options{Metrics: metrics.NewSet(), Now: start})
 			g := order("a", 1, 0, time.Second)
 			g.order.Read = func() {}
 			j := g.missing[0]
--- a/core/batch/retry_test.go
+++ b/core/batch/retry_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"k8s.io/klog/v2"
 
@@ -78,7 +80,7 @@
 		t.Run(test.desc, func(t *testing.T) {
 			c := qt.New(t)
 			f := &flaky{fail: test.fail, perOrder: test.perOrder}
-			b := New(Options{Maker: f, Pools: f, Log: klog.Logger{}, Now: start})
+			b := New(Options{Metrics: metrics.NewSet(), Maker: f, Pools: f, Log: klog.Logger{}, Now: start})
 			c.Assert(b.Start(context.Background()), qt.IsNil)
 			results, reason := b.Make(context.Background(), order("a", 3, 0, time.Second).order)
 			c.Assert(b.Close(), qt.IsNil)
@@ -95,9 +97,25 @@
 func TestBacklogTellsHowMuchRoomIsTaken(t *testing.T) {
 	c := qt.New(t)
 	f := &flaky{}
-	b := New(Options{Maker: f, Pools: f, Log: klog.Logger{}, Now: start})
+	b := New(Options{Metrics: metrics.NewSet(), Maker: f, Pools: f, Log: klog.Logger{}, Now: start})
 	c.Assert(b.Backlog("p").Held, qt.Equals, 0.0)
 	b.ledger.hold("p", "s1", 60) // of 100
 	b.ledger.hold("other", "s2", 30)
 	c.Assert(b.Backlog("p").Held, qt.Equals, 0.6)
 }
+
+func TestCallsAreCounted(t *testing.T) {
+	c := qt.New(t)
+	f, set := &flaky{}, metrics.NewSet()
+	b := New(Options{Metrics: set, Maker: f, Pools: f, Log: klog.Logger{}, Now: start})
+	o := order("a", 3, 0, time.Second).order
+	o.Pool = "p"
+	_, reason := b.Make(context.Background(), o)
+	c.Assert(reason, qt.Equals, sequoialead.Reason(""))
+	c.Assert(b.Close(), qt.IsNil)
+	var page strings.Builder
+	set.WritePrometheus(&page)
+	for _, line := range []string{`sequoialead_call_pieces_sum{pool="p"} 3`, `sequoialead_call_seconds_count{pool="p"} 1`, `sequoialead_order_wait_seconds_count{pool="p"} 1`} {
+		c.Assert(page.String(), qt.Contains, line)
+	}
+}
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"k8s.io/klog/v2"
 
@@ -103,7 +104,7 @@
 func build(t *testing.T, s *site) *delegate.Delegate {
 	t.Helper()
 	now := func() time.Time { return time.Unix(1000, 0) }
-	b := batch.New(batch.Options{Maker: s, Pools: s, Log: klog.Logger{}, Now: now})
+	b := batch.New(batch.Options{Metrics: metrics.NewSet(), Maker: s, Pools: s, Log: klog.Logger{}, Now: now})
 	qt.Assert(t, b.Start(context.Background()), qt.IsNil)
 	t.Cleanup(func() { qt.Assert(t, b.Close(), qt.IsNil) })
 	// The name decides who leads: try some until it is the sibling.
--- a/core/forward/counts.go
+++ b/core/forward/counts.go
@@ -33,6 +33,16 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_sends_total{pool=%q,end=%q,again="%t"}`, pool, end, again)).Inc()
 }
 
+// gap counts the longest pause between two events of a stream.
+func (c counts) gap(longest time.Duration) {
+	c.set.GetOrCreateHistogram(`sequoialead_longest_gap_seconds`).Update(longest.Seconds())
+}
+
+// wait counts a request that had to wait for a place.
+func (c counts) wait(pool string, reason sequoialead.Reason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_place_waits_total{pool=%q,reason=%q}`, pool, reason)).Inc()
+}
+
 // stage counts the time of a stage.
 func (c counts) stage(pool string, took time.Duration) {
 	c.set.GetOrCreateHistogram(fmt.Sprintf(`sequoialead_stage_seconds{pool=%q}`, pool)).Update(took.Seconds())
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -127,7 +127,7 @@
 // New returns a forwarder that knows no backend server yet.
 func New(opts Options) *Forwarder {
 	f := &Forwarder{opts: opts, counts: counts{set: opts.Metrics}, trails: trail.NewKeeper(opts.Log, opts.Now), pools: map[string]*pool.Pool{}, entries: 1}
-	f.batcher = batch.New(batch.Options{Maker: opts.Maker, Pools: shared{f}, Log: opts.Log, Now: opts.Now})
+	f.batcher = batch.New(batch.Options{Maker: opts.Maker, Pools: shared{f}, Log: opts.Log, Metrics: opts.Metrics, Now: opts.Now})
 	f.delegate = delegate.New(delegate.Options{
 		Entry: opts.Entry, Domain: opts.Domain, Batcher: f.batcher, Siblings: opts.Siblings, Log: opts.Log, Now: opts.Now,
 		Changed: f.Refresh,
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -58,6 +58,7 @@
 		}
 		f.mu.Unlock()
 		if !noted {
+			f.counts.wait(j.pool, reason)
 			j.steps.Add("wait", "pool", j.pool, "reason", reason, "until", until.Sub(now))
 			noted = true
 		}
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -242,8 +242,16 @@
 func (f *Forwarder) stream(ctx context.Context, j *job, place *pool.Place, r *sequoialead.Reception, sink Sink) (pool.End, next, sequoialead.Reason) {
 	splitter := events.New()
 	buf := make([]byte, copyBytes)
+	var last time.Time
+	longest := time.Duration(0)
+	defer func() { f.counts.gap(longest) }()
 	for {
 		n, err := r.Body.Read(buf)
+		now := f.opts.Now()
+		if !last.IsZero() {
+			longest = max(longest, now.Sub(last))
+		}
+		last = now
 		out := buf[:n]
 		if j.route.Resumable {
 			out = splitter.Take(out)
--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -165,6 +166,11 @@
 
 // taken applies a page that was read from a time on.
 func (f *follower) taken(page sequoialead.Page, whole bool, began time.Time) {
+	way := "store"
+	if f.from != "" {
+		way = "entry"
+	}
+	f.w.opts.Metrics.GetOrCreateCounter(fmt.Sprintf(`sequoialead_reads_total{topic=%q,from=%q}`, f.topic, way)).Inc()
 	now := f.w.opts.Now()
 	f.w.mu.Lock()
 	if whole {
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 
@@ -82,6 +83,8 @@
 	Relay   Relay
 	Decoder Decoder
 	Log     klog.Logger
+	// Metrics takes counters.
+	Metrics *metrics.Set
 	// Now is a clock that counts suspension.
 	Now func() time.Time
 	// Apply is the time within which a configuration must be in force, Revoke and
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
@@ -152,7 +153,7 @@
 func beginWith(t *testing.T, s *store, m *mates) *watch.Watcher {
 	t.Helper()
 	w := watch.New(watch.Options{
-		Self: members.Entry{Name: "e"}, Store: s, Relay: m, Decoder: decoder{}, Log: line.New(io.Discard, 0, time.Now),
+		Self: members.Entry{Name: "e"}, Store: s, Relay: m, Decoder: decoder{}, Log: line.New(io.Discard, 0, time.Now), Metrics: metrics.NewSet(),
 		Now: time.Now, Apply: 40 * time.Millisecond, Revoke: 2 * time.Second, Drain: time.Second, Assumed: 16, Changed: func() {},
 	})
 	qt.Assert(t, w.Start(context.Background()), qt.IsNil)
