delegate: Send orders to the leader where their results are wanted

Cause: where a pool has a leader in each failure domain, an order went to the one of the entry's own domain, and the results of encoders, 800 KB each, then to the model engine where the prompt belongs: three in four times in another domain.

Change: the order's domain chooses the leader. TestOrderGoesWhereItsResultsAreWanted fails without.

--- a/core/delegate/delegate.go
+++ b/core/delegate/delegate.go
@@ -4,6 +4,7 @@
 package delegate
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -118,15 +119,16 @@
 	return d.leaving
 }
 
-// leader returns the entry to ask for a request; empty for this one.
-func (d *Delegate) leader(pool, request string) string {
+// leader returns the entry to ask for a request that is best served in a failure
+// domain; empty for this one.
+func (d *Delegate) leader(pool, request, domain string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.groups[pool]
 	if g == nil {
 		return ""
 	}
-	return d.other(g.Leader(d.opts.Domain, request))
+	return d.other(g.Leader(cmp.Or(domain, d.opts.Domain), request))
 }
 
 // other returns an entry's name, or nothing for this one.
@@ -141,7 +143,7 @@
 // order would be late at its own and sooner there.
 func (d *Delegate) overflow(order batch.Order) string {
 	request := order.Pieces[0].Request
-	own := d.leader(order.Pool, request)
+	own := d.leader(order.Pool, request, order.Domain)
 	if order.Conf == nil || order.Conf.Pieces == nil {
 		return own
 	}
@@ -152,7 +154,7 @@
 	d.mu.Lock()
 	name := ""
 	if g := d.groups[order.Pool]; g != nil {
-		name = g.Other(d.opts.Domain, request)
+		name = g.Other(cmp.Or(order.Domain, d.opts.Domain), request)
 	}
 	d.mu.Unlock()
 	other := d.other(name)
@@ -227,7 +229,7 @@
 	if conf == nil || conf.Pieces == nil {
 		return 0
 	}
-	return d.estimate(conf, d.leader(conf.Name, request), rank, pieces)
+	return d.estimate(conf, d.leader(conf.Name, request, ""), rank, pieces)
 }
 
 func (d *Delegate) estimate(conf *plan.Pool, leader string, rank, pieces int) time.Duration {
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -241,17 +241,37 @@
 
 // An order that would be late at its own group is made by another one that has
 // less to do.
-func TestLateOrderGoesToAnotherGroup(t *testing.T) {
-	c := qt.New(t)
-	s := &site{reached: true}
-	d := build(t, s)
+// divided gives a delegate entries and backend servers in two failure domains.
+func divided(d *delegate.Delegate) {
 	var entries []members.Entry
 	var servers []sequoialead.Server
 	for i := range 12 {
-		entries = append(entries, members.Entry{Name: fmt.Sprint("e", i), Domain: string(rune('a' + i%2))})
+		entries = append(entries, members.Entry{Name: fmt.Sprint(string(rune('a'+i%2)), i), Domain: string(rune('a' + i%2))})
 		servers = append(servers, sequoialead.Server{ID: fmt.Sprint("s", i), Domain: string(rune('a' + i%2))})
 	}
 	d.Update("encode", entries, servers)
+}
+
+// Results are made where they are wanted, also where that is not the domain of
+// the entry that takes the request.
+func TestOrderGoesWhereItsResultsAreWanted(t *testing.T) {
+	c := qt.New(t)
+	s := &site{reached: true}
+	d := build(t, s)
+	divided(d)
+	for _, domain := range []string{"a", "b"} {
+		o := order(1)
+		o.Conf, o.Domain, o.Due = s.Conf(""), domain, time.Unix(1010, 0)
+		_, _ = d.Make(context.Background(), o)
+		c.Assert(s.asked[len(s.asked)-1][:1], qt.Equals, domain)
+	}
+}
+
+func TestLateOrderGoesToAnotherGroup(t *testing.T) {
+	c := qt.New(t)
+	s := &site{reached: true}
+	d := build(t, s)
+	divided(d)
 	o := order(1)
 	o.Conf = s.Conf("")
 	o.Conf.Name = "encode"
