batch, forward: Wait for the own domain by the bytes that move

All orders waited for their domain alike, for a quarter of their spare time.

Change: an order says what moves if it is made elsewhere; below 256 KB it waits for no domain, above for up to half of its spare time.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -62,6 +62,9 @@
 	// Domain is where the inputs are, or the results are wanted; empty for
 	// anywhere.
 	Domain string
+	// Moved is the number of bytes that go to another failure domain if the pieces
+	// are made there.
+	Moved int
 	// Read is called once all pieces are being made and their inputs were read,
 	// if that is known before the results are; nil if nobody cares.
 	Read func()
@@ -85,7 +88,10 @@
 	timeoutExtra = time.Second
 	// patientShare is the part of the time that an order has to spare which it
 	// may wait for a backend server of its failure domain.
-	patientShare = 0.25
+	patientShare = 0.5
+	// movedLeast is the number of bytes below which an order waits for no domain:
+	// moving less costs less than the time.
+	movedLeast = 256 << 10
 	// patientLoad is the part of a whole call for each backend server that may
 	// wait before orders are made in any failure domain.
 	patientLoad = 0.5
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -212,6 +212,9 @@
 // patientUntil returns how long the order may wait for a backend server of its
 // failure domain, where a call takes a usual time.
 func (g *group) patientUntil(usual time.Duration) time.Time {
+	if g.order.Moved < movedLeast {
+		return g.added
+	}
 	spare := g.order.Due.Sub(g.added) - usual
 	return g.added.Add(time.Duration(patientShare * float64(spare)))
 }
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -104,6 +104,21 @@
 
 // Whatever happens to calls, each piece is taken once at a time, and an order
 // ends with one result for each of its pieces.
+// Only an order whose bytes cost more to move than the time waits for its domain,
+// and for no longer than a part of what it has to spare.
+func TestPatienceIsForWhatIsLarge(t *testing.T) {
+	c := qt.New(t)
+	const usual = 200 * time.Millisecond
+	small := order("a", 1, 0, time.Second)
+	small.order.Moved = movedLeast - 1
+	c.Assert(small.patientUntil(usual), qt.Equals, small.added)
+	large := order("a", 1, 0, time.Second)
+	large.order.Moved = movedLeast
+	until := large.patientUntil(usual)
+	c.Assert(until.After(large.added), qt.IsTrue)
+	c.Assert(until.Add(usual).Before(large.order.Due), qt.IsTrue)
+}
+
 func TestEachPieceIsMadeOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := &queue{}
--- a/core/delegate/delegate.go
+++ b/core/delegate/delegate.go
@@ -192,6 +192,7 @@
 	now := d.opts.Now()
 	made, ok := d.opts.Siblings.Order(ctx, leader, frame.Order{
 		Pool: order.Pool, Rank: order.Rank, Pieces: order.Pieces, Due: order.Due.Sub(now), Until: order.Until.Sub(now), Domain: order.Domain,
+		Moved: order.Moved,
 	}, order.Read)
 	if ctx.Err() != nil {
 		return nil, sequoialead.ReasonCancelled, true
@@ -297,7 +298,7 @@
 	now := d.opts.Now()
 	results, reason := d.opts.Batcher.Make(ctx, batch.Order{
 		Pool: order.Pool, Rank: order.Rank, Pieces: order.Pieces, Due: now.Add(order.Due), Until: now.Add(order.Until), Domain: order.Domain,
-		Read: read,
+		Moved: order.Moved, Read: read,
 	})
 	return frame.Made{ID: order.ID, Results: toFrames(results), Reason: reason, Backlog: d.opts.Batcher.Backlog(order.Pool)}
 }
--- a/core/forward/stages.go
+++ b/core/forward/stages.go
@@ -54,8 +54,9 @@
 			})
 			name := j.route.Stages[i].Pool
 			start := f.opts.Now()
+			domain, moved := f.near(j, i, count, results)
 			results[i], reasons[i] = f.delegate.Make(ctx, batch.Order{
-				Pool: name, Conf: shared{f}.Conf(name), Rank: j.urgency, Pieces: piecesOf(j, i, count, results), Domain: f.near(j, i, results),
+				Pool: name, Conf: shared{f}.Conf(name), Rank: j.urgency, Pieces: piecesOf(j, i, count, results), Domain: domain, Moved: moved,
 				Due:   j.passage.Arrived.Add(j.route.Aim - f.after(j, counts, i)),
 				Until: j.stagesUntil(),
 				Read: func() {
@@ -81,36 +82,37 @@
 }
 
 // near returns the failure domain where most bytes of a stage's inputs are, or
-// where its results are wanted: the home of the prompt, for the last stages.
-func (f *Forwarder) near(j *job, stage int, results [][]batch.Result) string {
+// where its results are wanted: the home of the prompt, for the last stages. With it
+// go the bytes that move if the stage is made elsewhere; each piece reads all inputs.
+func (f *Forwarder) near(j *job, stage, count int, results [][]batch.Result) (domain string, moved int) {
 	after := j.route.Stages[stage].After
 	if len(after) == 0 {
 		if followed(j.route.Stages, j.passage.Pieces, stage) {
-			return ""
+			return "", 0
 		}
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		return f.pool(j.pool).Home(j.passage.Prompt)
+		return f.pool(j.pool).Home(j.passage.Prompt), count * j.route.Stages[stage].Bytes
 	}
 	var inputs []batch.Result
 	for _, a := range after {
 		inputs = append(inputs, results[a]...)
 	}
-	return most(inputs)
+	domain, held := most(inputs)
+	return domain, count * held
 }
 
-// most returns the failure domain that holds most bytes of results.
-func most(results []batch.Result) string {
+// most returns the failure domain that holds most bytes of results, and how many.
+func most(results []batch.Result) (domain string, bytes int) {
 	held := map[string]int{}
-	best := ""
 	for _, r := range results {
 		d := r.Maker.Domain
 		held[d] += r.Bytes
-		if held[d] > held[best] {
-			best = d
+		if held[d] > held[domain] {
+			domain = d
 		}
 	}
-	return best
+	return domain, held[domain]
 }
 
 // after returns the time from the end of a stage to the first event, behind what
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -113,6 +113,8 @@
 	Until time.Duration `cbor:"6,keyasint"`
 	// Domain is where the pieces are best made; empty for anywhere.
 	Domain string `cbor:"7,keyasint,omitempty"`
+	// Moved is the number of bytes that go elsewhere if they are not made there.
+	Moved int `cbor:"8,keyasint,omitempty"`
 }
 
 // Made answers an order.
