entry, trail, explain: Log an entry's decisions about each request

An entry of the product's own deployments logs arrival, early refusal with the times that decided it, each send with agent and time left, refusals and losses, the end of each stage and of the request, whole or not at all like a gateway. Answers carry the request's ID. `explain` names the cause from these lines.

Found on the way: a trail dropped what came after its 64th event, so that a request that many agents refused was logged without its end. It keeps the first 32 and the latest 32. TestLogNamesTheCause and TestLongTrailKeepsItsEnds fail without.

--- a/commands/build.go
+++ b/commands/build.go
@@ -125,6 +125,7 @@
 		Configuration: follower,
 		Members:       members,
 		Claims:        claimer,
+		Log:           log,
 		Random:        rand.New(rand.NewPCG(seed, seed)),
 		AnswerBytes:   s.answer,
 	})
--- a/common/trail/trail.go
+++ b/common/trail/trail.go
@@ -4,6 +4,7 @@
 package trail
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,11 @@
 	// servedPerSecond and servedBurst bound the others.
 	servedPerSecond = 10
 	servedBurst     = 20
-	// mostEvents bounds the memory of one trail.
-	mostEvents = 64
+	// mostEvents bounds the memory of one trail, and firstEvents is the number of
+	// those that are kept from its start: the others are the latest, since the last
+	// ones tell the end.
+	mostEvents  = 64
+	firstEvents = 32
 )
 
 // Keeper bounds the number of trails that are logged.
@@ -58,7 +62,7 @@
 
 	mu     sync.Mutex
 	events []event
-	// left counts the events that did not fit.
+	// left counts the events that did not fit, after the first ones.
 	left int
 }
 
@@ -73,7 +77,7 @@
 	defer t.mu.Unlock()
 	if len(t.events) >= mostEvents {
 		t.left++
-		return
+		t.events = slices.Delete(t.events, firstEvents, firstEvents+1)
 	}
 	t.events = append(t.events, event{name: name, at: t.keeper.now().Sub(t.began), pairs: pairs})
 }
--- a/common/trail/trail_test.go
+++ b/common/trail/trail_test.go
@@ -44,6 +44,23 @@
 	c.Assert(len(n) > 42 && len(n) < 80, qt.IsTrue, qt.Commentf("%d", len(n)))
 }
 
+// However long a trail is, its start and its end are logged.
+func TestLongTrailKeepsItsEnds(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	k := trail.NewKeeper(line.New(&out, 0, time.Now), time.Now)
+	tr := k.New("r", time.Now())
+	tr.Add("arrive")
+	for range 200 {
+		tr.Add("step")
+	}
+	tr.Add("end")
+	tr.End(true)
+	c.Assert(out.String(), qt.Contains, "event=arrive")
+	c.Assert(out.String(), qt.Contains, "event=end")
+	c.Assert(out.String(), qt.Contains, "events=138") // of 202
+}
+
 func TestFailuresAreBounded(t *testing.T) {
 	c := qt.New(t)
 	var out bytes.Buffer
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -9,7 +9,10 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"sequoialead"
+	"sequoialead/common/trail"
 	"sequoialead/core/admit"
 	"sequoialead/core/budget"
 	"sequoialead/core/config"
@@ -52,6 +55,7 @@
 	Members       Members
 	// Claims is nil where keyed requests are refused.
 	Claims Claims
+	Log    klog.Logger
 	Random *rand.Rand
 	// AnswerBytes is the largest answer.
 	AnswerBytes int
@@ -59,7 +63,8 @@
 
 // Entry runs requests.
 type Entry struct {
-	opts Options
+	opts   Options
+	trails *trail.Keeper
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -96,11 +101,12 @@
 // New returns an entry that is ready to run requests.
 func New(opts Options) *Entry {
 	return &Entry{
-		opts:  opts,
-		pools: map[string]*pool{},
-		book:  admit.New(),
-		times: map[string]*estimate.Estimate{},
-		tally: newTally(),
+		opts:   opts,
+		trails: trail.NewKeeper(opts.Log, time.Now),
+		pools:  map[string]*pool{},
+		book:   admit.New(),
+		times:  map[string]*estimate.Estimate{},
+		tally:  newTally(),
 	}
 }
 
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"k8s.io/klog/v2"
 
 	"sequoialead"
 	"sequoialead/core/config"
@@ -112,6 +113,7 @@
 		Domain:        "d",
 		Configuration: conf,
 		Members:       peers,
+		Log:           klog.Logger{},
 		Random:        rand.New(rand.NewPCG(1, 1)),
 		AnswerBytes:   1000,
 	}), conf
--- a/core/entry/run.go
+++ b/core/entry/run.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"sequoialead"
+	"sequoialead/common/trail"
 	"sequoialead/core/config"
 	"sequoialead/core/work"
 )
@@ -36,24 +37,29 @@
 	// spent holds the cost of each stage's calls so far.
 	spent []Cost
 	held  Held
+	steps *trail.Trail
 }
 
 // Run runs a request within a time and returns what became of it. The sink
 // receives the text while it is generated; it may be nil.
 func (e *Entry) Run(ctx context.Context, request sequoialead.Request, customer config.Customer, within time.Duration, sink sequoialead.Sink) sequoialead.Answer {
+	id, now := uuid.New(), time.Now()
+	steps := e.trails.New(id.String(), now)
 	conf, version := e.opts.Configuration.Current()
+	steps.Add("arrive", "pipeline", request.Pipeline, "customer", customer.Name, "version", version, "wait", within)
 	pipeline, ok := conf.Pipelines[request.Pipeline]
 	if !ok {
-		return e.count(sequoialead.Answer{Outcome: sequoialead.OutcomeNotRun, Reason: sequoialead.ReasonPipeline, Version: version})
+		return e.ended(steps, sequoialead.Answer{ID: id.String(), Outcome: sequoialead.OutcomeNotRun, Reason: sequoialead.ReasonPipeline, Version: version})
 	}
 	r := &run{
 		entry:    e,
-		id:       uuid.New(),
+		id:       id,
+		steps:    steps,
 		request:  request,
 		customer: customer,
 		pipeline: pipeline,
 		version:  version,
-		deadline: time.Now().Add(pipeline.Within(within)),
+		deadline: now.Add(pipeline.Within(within)),
 		sink:     sink,
 		work:     work.Work{Text: request.Text, Body: request.Body},
 		spent:    make([]Cost, len(pipeline.Stages)),
@@ -62,13 +68,16 @@
 		r.reports = append(r.reports, sequoialead.StageReport{Name: s.Name, State: sequoialead.StageNotRun})
 	}
 	if reason := e.enter(r, conf); reason != "" {
-		return e.count(r.answer(sequoialead.OutcomeNotRun, reason, ""))
+		return e.ended(steps, r.answer(sequoialead.OutcomeNotRun, reason, ""))
 	}
 	defer e.exit(r)
-	return e.count(r.serve(ctx))
+	return e.ended(steps, r.serve(ctx))
 }
 
-func (e *Entry) count(a sequoialead.Answer) sequoialead.Answer {
+// ended counts and logs the end of a request.
+func (e *Entry) ended(steps *trail.Trail, a sequoialead.Answer) sequoialead.Answer {
+	steps.Add("end", "outcome", a.Outcome, "reason", a.Reason, "detail", a.Detail, "repeat", a.Repeat, "tokens", a.Tokens)
+	steps.End(a.Outcome != sequoialead.OutcomeDone)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.tally.outcome(a)
@@ -114,6 +123,9 @@
 		waits += e.book.Wait(s.Pool, r.customer.Name, e.weight(r.customer), max(p.slots(options[i]), 1), service, conf.Policy.Fair)
 	}
 	left := r.deadline.Sub(now) - endMargin
+	if need+waits > left {
+		r.steps.Add("estimate", "service", need, "waits", waits, "left", left, "fair", conf.Policy.Fair)
+	}
 	switch {
 	case need > left:
 		return sequoialead.ReasonDeadline
@@ -158,6 +170,7 @@
 	}
 	held, known := r.entry.opts.Claims.Claim(ctx, r.request)
 	if known != nil {
+		known.ID = r.id.String()
 		if !known.Repeat {
 			known.Version = r.version
 			known.Stages = r.reports
@@ -176,7 +189,9 @@
 		if s.Op == sequoialead.OpGenerate {
 			t.prefix = r.work.Prompt()
 		}
-		if ending := t.do(ctx); !ending.done {
+		ending := t.do(ctx)
+		r.steps.Add("stage", "stage", s.Name, "pool", s.Pool, "tries", r.reports[i].Tries, "state", r.reports[i].State, "reason", ending.reason)
+		if !ending.done {
 			return r.fail(i, ending)
 		}
 		r.entry.mu.Lock()
@@ -218,6 +233,7 @@
 
 func (r *run) answer(outcome sequoialead.Outcome, reason sequoialead.Reason, detail string) sequoialead.Answer {
 	a := sequoialead.Answer{
+		ID:      r.id.String(),
 		Outcome: outcome,
 		Reason:  reason,
 		Detail:  detail,
--- a/core/entry/stage.go
+++ b/core/entry/stage.go
@@ -163,8 +163,11 @@
 	}
 	c := &collector{task: t, most: e.opts.AnswerBytes}
 	began := time.Now()
+	hello, _ := s.peer.Hello()
+	t.run.steps.Add("send", "stage", t.stage.Name, "try", number, "server", s.name, "domain", hello.Domain, "left", t.run.deadline.Sub(began))
 	end, err := s.peer.Call(ctx, call, c)
 	verdict := judge.Attempt(t.stage.Idempotent, end, err)
+	t.lost(s, verdict, end, err)
 	if verdict == judge.Done {
 		if err := c.finish(end); err != nil {
 			verdict = judge.Attempt(t.stage.Idempotent, sequoialead.End{Ending: sequoialead.EndFailed}, nil)
@@ -175,6 +178,17 @@
 	return describe(end, err, verdict, ctx), verdict
 }
 
+// lost notes an attempt that did not end well.
+func (t task) lost(s seat, verdict judge.Verdict, end sequoialead.End, err error) {
+	switch verdict {
+	case judge.Done:
+	case judge.Unstarted:
+		t.run.steps.Add("send-refused", "server", s.name, "status", end.Status, "reason", end.Reason)
+	default:
+		t.run.steps.Add("send-lost", "server", s.name, "unsent", false, "ending", end.Ending, "reason", end.Reason, "again", verdict == judge.Repeatable, "err", err)
+	}
+}
+
 // learn takes what an attempt showed of the agent, the stage and its cost.
 func (e *Entry) learn(t task, s seat, verdict judge.Verdict, end sequoialead.End, took time.Duration) {
 	conf, _ := e.opts.Configuration.Current()
--- /dev/null
+++ b/core/entry/trail_test.go
@@ -0,0 +1,71 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sequoialead"
+	"sequoialead/common/line"
+	"sequoialead/core/config"
+	"sequoialead/core/entry"
+	"sequoialead/core/explain"
+)
+
+// The log of an entry leads from the ID that the caller got to the cause.
+func TestLogNamesTheCause(t *testing.T) {
+	slow := func(ctx context.Context, call sequoialead.Call, reply sequoialead.Reply) (sequoialead.End, error) {
+		time.Sleep(30 * time.Millisecond)
+		return done(`{}`)(ctx, call, reply)
+	}
+	tests := []struct {
+		desc       string
+		idempotent bool
+		answer     script
+		within     time.Duration
+		outcome    sequoialead.Outcome
+		cause      string
+	}{
+		{"the answer of a stage that must not be repeated is lost", false, errs(errors.New("connection lost")), 0,
+			sequoialead.OutcomeUnknown, `the answer of a1 is lost; it may have run: connection lost, and the request must not be sent again`},
+		{"no agent takes it", true, ends(sequoialead.EndRefused, sequoialead.ReasonFull), 200 * time.Millisecond,
+			sequoialead.OutcomeNotRun, `agent a1 does not start it: full, and no other agent took it in time \(.*\)`},
+		{"too little time", true, slow, 60 * time.Millisecond,
+			sequoialead.OutcomeNotRun, `its stages would take .* \(deadline\); refused truthfully, not run`},
+		{"no such pipeline", true, nil, 0, sequoialead.OutcomeNotRun, `not-run: pipeline`},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			var log bytes.Buffer
+			e := entry.New(entry.Options{
+				Name: "e", Domain: "d", AnswerBytes: 1000, Random: rand.New(rand.NewPCG(1, 1)), Log: line.New(&log, 0, time.Now),
+				Configuration: &configuration{conf: config.Config{
+					Pipelines: map[string]config.Pipeline{"p": {Name: "p", Deadline: 2 * time.Second, Stages: []config.Stage{stage("s", sequoialead.OpInvoke, test.idempotent)}}},
+					Policy:    config.Policy{Router: config.RouterTwo, Early: true, Fair: true, Retries: 10},
+				}},
+				Members: members{"s": {&peer{name: "a1", domain: "d", limit: 4, answer: test.answer}}},
+			})
+			request := sequoialead.Request{Pipeline: "p", Customer: "c", Body: []byte(`{}`)}
+			if test.answer == nil {
+				request.Pipeline = "other"
+			}
+			customer := config.Customer{Name: "c", Share: 1}
+			if test.desc == "too little time" {
+				for range 10 { // tells how long the stage takes
+					e.Run(context.Background(), request, customer, 0, nil)
+				}
+			}
+			answer := e.Run(context.Background(), request, customer, test.within, nil)
+			c.Assert(answer.Outcome, qt.Equals, test.outcome)
+			account := explain.New(answer.ID)
+			c.Assert(account.Read(&log), qt.IsNil)
+			c.Assert(account.Cause(), qt.Matches, test.cause)
+		})
+	}
+}
--- a/core/explain/cause.go
+++ b/core/explain/cause.go
@@ -41,9 +41,17 @@
 	for i := len(a.steps) - 1; i >= 0; i-- {
 		e := a.steps[i]
 		switch e.Event {
+		case "estimate":
+			if e.Fields["service"] != "" {
+				return fmt.Sprintf("%s (%s); refused truthfully, not run", e.Text, s.Fields["reason"])
+			}
+		case "send-refused":
+			if s.Fields["sends"] == "" {
+				return fmt.Sprintf("%s, and no other agent took it in time (%s)", e.Text, s.Fields["reason"])
+			}
 		case "send-lost", "answer-odd", "answer-failed", "answer-cut", "stream-cut":
 			again := "and the request must not be sent again"
-			if s.Fields["sends"] != "1" {
+			if s.Fields["sends"] != "1" && e.Fields["again"] != "false" {
 				again = "and no further try was allowed or possible"
 			}
 			return fmt.Sprintf("%s, %s", e.Text, again)
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -121,13 +121,22 @@
 func text(f map[string]string) string {
 	switch f["event"] {
 	case "arrive":
+		if f["pipeline"] != "" {
+			return fmt.Sprintf("arrives for pipeline %s, customer %q; the caller waits %s; configuration %s", f["pipeline"], f["customer"], f["wait"], f["version"])
+		}
 		return fmt.Sprintf("arrives on route %s for pool %s, customer %q, urgency %s, pieces %s; the caller waits %s; configuration %s was confirmed %s before",
 			f["route"], f["pool"], f["customer"], f["urgency"], f["pieces"], f["wait"], f["version"], round(f["version-age"]))
 	case "estimate":
+		if f["service"] != "" {
+			return fmt.Sprintf("its stages would take %s and wait %s, and %s are left", round(f["service"]), round(f["waits"]), round(f["left"]))
+		}
 		return fmt.Sprintf("its stages would take %s behind what waits, and the objective is %s", round(f["stages"]), f["aim"])
 	case "refuse":
 		return fmt.Sprintf("is refused with %s (%s); it has not run, and may come back after %s", f["status"], f["reason"], f["retry"])
 	case "stage":
+		if f["state"] != "" {
+			return fmt.Sprintf("stage %s at pool %s ends %s after %s tries (reason %q)", f["stage"], f["pool"], f["state"], f["tries"], f["reason"])
+		}
 		if f["reason"] != "" {
 			return fmt.Sprintf("stage %s (%s pieces at pool %s) fails after %s: %s", f["stage"], f["pieces"], f["pool"], round(f["took"]), f["reason"])
 		}
@@ -139,13 +148,22 @@
 	case "wait":
 		return fmt.Sprintf("waits for a place at pool %s, at most %s: %s", f["pool"], round(f["until"]), f["reason"])
 	case "send":
+		if f["stage"] != "" {
+			return fmt.Sprintf("stage %s is sent to agent %s in %s (attempt %s) with %s left", f["stage"], f["server"], f["domain"], f["try"], round(f["left"]))
+		}
 		return fmt.Sprintf("is sent to %s in %s (try %s) with %s left and %s prompt tokens before it", f["server"], f["domain"], f["try"], round(f["left"]), f["pending"])
 	case "send-refused":
+		if f["reason"] != "" {
+			return fmt.Sprintf("agent %s does not start it: %s", f["server"], f["reason"])
+		}
 		return fmt.Sprintf("%s does not run it (status %s)", f["server"], f["status"])
 	case "send-lost":
 		if f["unsent"] == "true" {
 			return fmt.Sprintf("%s cannot be reached, so nothing was sent", f["server"])
 		}
+		if f["ending"] != "" {
+			return fmt.Sprintf("the call at agent %s ends %s (%s); it may have run", f["server"], f["ending"], f["reason"])
+		}
 		return fmt.Sprintf("the answer of %s is lost; it may have run: %s", f["server"], f["err"])
 	case "answer-odd":
 		return fmt.Sprintf("the answer of %s lacks its stamp and counts as lost", f["server"])
@@ -154,6 +172,9 @@
 	case "answer-cut", "stream-cut":
 		return fmt.Sprintf("%s broke off its answer (after event %q): %s", f["server"], f["after"], f["err"])
 	case "end":
+		if f["status"] == "" {
+			return fmt.Sprintf("ends: %s (reason %q) %s", f["outcome"], f["reason"], f["detail"])
+		}
 		return fmt.Sprintf("ends: %s (status %s, reason %q, sent %s times), first byte after %s", f["outcome"], f["status"], f["reason"], f["sends"], round(f["first"]))
 	}
 	return f["event"]
--- a/fake/backend/backend.go
+++ b/fake/backend/backend.go
@@ -92,6 +92,13 @@
 	s.faults = append(s.faults, faults...)
 }
 
+// Heal drops the faults that no request has met.
+func (s *Server) Heal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = nil
+}
+
 // Seen returns the requests that arrived so far.
 func (s *Server) Seen() []Seen {
 	s.mu.Lock()
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -68,6 +68,8 @@
 
 // Answer is the answer to a caller.
 type Answer struct {
+	// ID names the request in the logs.
+	ID        string                    `json:"id,omitempty"`
 	Outcome   sequoialead.Outcome       `json:"outcome"`
 	Reason    sequoialead.Reason        `json:"reason,omitempty"`
 	Remedy    string                    `json:"remedy,omitempty"`
@@ -233,6 +235,7 @@
 
 func wire(a sequoialead.Answer) Answer {
 	answer := Answer{
+		ID:        a.ID,
 		Outcome:   a.Outcome,
 		Reason:    a.Reason,
 		Detail:    a.Detail,
--- a/peer.go
+++ b/peer.go
@@ -39,6 +39,8 @@
 
 // Answer is what a caller is told of a request.
 type Answer struct {
+	// ID names the request in the logs of all processes.
+	ID      string
 	Outcome Outcome
 	Reason  Reason
 	Detail  string
--- a/testscripts/soak_test.go
+++ b/testscripts/soak_test.go
@@ -83,7 +83,9 @@
 	seeds := []uint64{
 		1, 2,
 		11638330303019164920, 4965327147836111403, // SIGHUP during a start ended the process
-		7891749128904077541,  // the soak waited for a silenced connection at its end
+		7891749128904077541,                      // the soak waited for a silenced connection at its end
+		// The soak left faults of backend servers for after its end.
+		9718981783418929975, 2392102883943935399, 10948415221018166493, 10071178440771238706, 9188422062365901387,
 		14098586275124771089, // the soak paused a process that was to end, and nobody woke it
 	}
 	for _, text := range strings.Fields(os.Getenv("SOAK_SEED")) {
@@ -303,6 +305,9 @@
 	for _, hop := range s.proxies {
 		hop.Fail(proxy.Fault{})
 	}
+	for _, b := range s.backends {
+		b.Heal()
+	}
 	for i, p := range s.procs {
 		s.signal(p, syscall.SIGCONT)
 		n := 0
