--- a/core/forward/stages.go
+++ b/core/forward/stages.go
@@ -12,6 +12,19 @@
 	"sequoialead/core/plan"
 )
 
+// staging is the work on the stages of one request.
+type staging struct {
+	f      *Forwarder
+	j      *job
+	counts []int
+	// results and reasons are those of each stage, once its done is closed.
+	results [][]batch.Result
+	reasons []sequoialead.Reason
+	done    []chan struct{}
+	// users counts the stages that still need each stage's results.
+	users []atomic.Int32
+}
+
 // stages has the pieces of all stages made, each stage as soon as those before
 // it are done, and keeps the results that the request itself needs.
 func (f *Forwarder) stages(ctx context.Context, j *job) sequoialead.Reason {
@@ -21,64 +34,76 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n := len(counts)
-	results := make([][]batch.Result, n)
-	reasons := make([]sequoialead.Reason, n)
-	done := make([]chan struct{}, n)
-	for i := range done {
-		done[i] = make(chan struct{})
+	s := &staging{
+		f: f, j: j, counts: counts, users: followers(j.route.Stages, counts),
+		results: make([][]batch.Result, len(counts)), reasons: make([]sequoialead.Reason, len(counts)), done: make([]chan struct{}, len(counts)),
+	}
+	for i := range s.done {
+		s.done[i] = make(chan struct{})
 	}
-	users := followers(j.route.Stages, counts)
 	var all sync.WaitGroup
 	for i, count := range counts {
 		if count == 0 {
-			close(done[i])
+			close(s.done[i])
 			continue
 		}
 		all.Go(func() {
-			defer close(done[i])
-			after := j.route.Stages[i].After
-			for _, a := range after {
-				<-done[a]
-				if reasons[a] != "" {
-					reasons[i] = reasons[a]
-					return
-				}
-			}
-			read := sync.OnceFunc(func() {
-				for _, a := range after {
-					if users[a].Add(-1) == 0 {
-						f.delegate.Free(results[a])
-					}
-				}
-			})
-			name := j.route.Stages[i].Pool
-			start := f.opts.Now()
-			domain, moved := f.near(j, i, count, results)
-			results[i], reasons[i] = f.delegate.Make(ctx, batch.Order{
-				Pool: name, Conf: shared{f}.Conf(name), Rank: j.urgency, Pieces: piecesOf(j, i, count, results), Domain: domain, Moved: moved,
-				Due:   j.passage.Arrived.Add(j.route.Aim - f.after(j, counts, i)),
-				Until: j.stagesUntil(),
-				Read: func() {
-					for _, a := range after {
-						if f.delegate.Scarce(j.route.Stages[a].Pool, results[a]) {
-							read() // a piece that fails may find its inputs gone then
-						}
-					}
-				},
-			})
-			took := f.opts.Now().Sub(start)
-			f.counts.stage(name, took)
-			j.steps.Add("stage", "stage", i, "pool", name, "pieces", count, "reason", reasons[i], "took", took)
-			if reasons[i] != "" {
+			defer close(s.done[i])
+			if s.reasons[i] = s.make(ctx, i); s.reasons[i] != "" {
 				cancel()
-				return
 			}
-			read()
 		})
 	}
 	all.Wait()
-	return f.keep(j, users, results, reasons)
+	return f.keep(j, s.users, s.results, s.reasons)
+}
+
+// make has one stage made once those before it are done.
+func (s *staging) make(ctx context.Context, i int) sequoialead.Reason {
+	f, j := s.f, s.j
+	after := j.route.Stages[i].After
+	for _, a := range after {
+		<-s.done[a]
+		if s.reasons[a] != "" {
+			return s.reasons[a]
+		}
+	}
+	read := sync.OnceFunc(func() { s.read(after) })
+	name := j.route.Stages[i].Pool
+	start := f.opts.Now()
+	domain, moved := f.near(j, i, s.counts[i], s.results)
+	results, reason := f.delegate.Make(ctx, batch.Order{
+		Pool: name, Conf: shared{f}.Conf(name), Rank: j.urgency, Pieces: piecesOf(j, i, s.counts[i], s.results), Domain: domain, Moved: moved,
+		Due:   j.passage.Arrived.Add(j.route.Aim - f.after(j, s.counts, i)),
+		Until: j.stagesUntil(),
+		Read: func() {
+			if s.scarce(after) {
+				read() // a piece that fails may find its inputs gone then
+			}
+		},
+	})
+	s.results[i] = results
+	took := f.opts.Now().Sub(start)
+	f.counts.stage(name, took)
+	j.steps.Add("stage", "stage", i, "pool", name, "pieces", s.counts[i], "reason", reason, "took", took)
+	if reason == "" {
+		read()
+	}
+	return reason
+}
+
+// read gives up the results of stages that no other stage needs any more.
+func (s *staging) read(stages []int) {
+	for _, i := range stages {
+		if s.users[i].Add(-1) == 0 {
+			s.f.delegate.Free(s.results[i])
+		}
+	}
+}
+
+// scarce reports whether a maker of the results of stages needs their room back.
+func (s *staging) scarce(stages []int) bool {
+	return slices.ContainsFunc(stages, func(i int) bool { return s.f.delegate.Scarce(s.j.route.Stages[i].Pool, s.results[i]) })
 }
 
 // near returns the failure domain where most bytes of a stage's inputs are, or
--- a/fake/proxy/proxy_test.go
+++ b/fake/proxy/proxy_test.go
@@ -13,7 +13,7 @@
 	"sequoialead/fake/proxy"
 )
 
-// cut by one way, a connection still carries the other.
+// A connection that is cut one way still carries the other.
 func TestOneWayCuts(t *testing.T) {
 	tests := []struct {
 		desc      string
@@ -31,7 +31,6 @@
 			c := qt.New(t)
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
-			defer l.Close()
 			p, err := proxy.New(netip.MustParseAddrPort(l.Addr().String()))
 			c.Assert(err, qt.IsNil)
 			c.Assert(p.Start(context.Background()), qt.IsNil)
@@ -46,6 +45,7 @@
 			_ = client.Close()
 			_ = server.Close()
 			c.Assert(p.Close(), qt.IsNil)
+			c.Assert(l.Close(), qt.IsNil)
 		})
 	}
 }
--- a/io/sibling/ask.go
+++ b/io/sibling/ask.go
@@ -10,8 +10,8 @@
 // if the entry could not be reached or did not answer.
 func (s *Siblings) Ask(ctx context.Context, name string, ask frame.Ask) (frame.News, bool) {
 	s.mu.Lock()
-	p := s.peers[name]
-	if p == nil || p.link == nil || p.leaving {
+	p := s.usable(name)
+	if p == nil {
 		s.mu.Unlock()
 		return frame.News{}, false
 	}
--- a/io/sibling/order.go
+++ b/io/sibling/order.go
@@ -35,13 +35,23 @@
 	read func()
 }
 
+// usable returns an entry that can be asked now; nil if it cannot. The caller
+// holds mu.
+func (s *Siblings) usable(name string) *peer {
+	p := s.peers[name]
+	if p == nil || p.link == nil || p.leaving {
+		return nil
+	}
+	return p
+}
+
 // Order has an order made by an entry, and calls the function once its inputs
 // were read, if that is known. It reports false if the entry could not
 // be reached, or was lost before it answered.
 func (s *Siblings) Order(ctx context.Context, name string, order frame.Order, read func()) (frame.Made, bool) {
 	s.mu.Lock()
-	p := s.peers[name]
-	if p == nil || p.link == nil || p.leaving {
+	p := s.usable(name)
+	if p == nil {
 		s.mu.Unlock()
 		return frame.Made{}, false
 	}
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -140,14 +140,13 @@
 func (s *Siblings) Reach(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.peers[name]
-	if p != nil {
-		return p.link != nil && !p.leaving
+	if s.peers[name] != nil {
+		return s.usable(name) != nil
 	}
 	if !s.addrs[name].IsValid() || !s.tomb.Alive() {
 		return false
 	}
-	p = &peer{name: name, pending: map[uint64]*asked{}, asks: map[uint64]chan frame.News{}}
+	p := &peer{name: name, pending: map[uint64]*asked{}, asks: map[uint64]chan frame.News{}}
 	s.peers[name] = p
 	s.tomb.Go(func() error {
 		s.maintain(p)
