entry: Log the state that a stage ended in

Cause: found on reading the change again. The line of a stage took its state from the report, which is set after the line: a stage whose end was not seen was logged as not-run. The attempt also asked the agent for its hello again only to log the domain, which the choice of the agent had in hand.

Change: the line has the state of the ending, and a seat keeps the agent's domain. TestLogNamesTheCause asks for the state and fails without. What callers are told, and the gateway on the users' platform, are as they were: it does not use this package.

--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -24,8 +24,9 @@
 
 // seat is a place at an agent that a stage holds until its attempt ends.
 type seat struct {
-	peer sequoialead.Peer
-	name string
+	peer   sequoialead.Peer
+	name   string
+	domain string
 }
 
 // acquire waits for an agent of the pool with room. It returns an empty seat
@@ -82,7 +83,7 @@
 
 func (e *Entry) seated(peer sequoialead.Peer) seat {
 	hello, _ := peer.Hello()
-	return seat{peer: peer, name: hello.Name}
+	return seat{peer: peer, name: hello.Name, domain: hello.Domain}
 }
 
 // weight returns a customer's share, or 1 for all where fairness is off.
--- a/core/entry/run.go
+++ b/core/entry/run.go
@@ -190,7 +190,7 @@
 			t.prefix = r.work.Prompt()
 		}
 		ending := t.do(ctx)
-		r.steps.Add("stage", "stage", s.Name, "pool", s.Pool, "tries", r.reports[i].Tries, "state", r.reports[i].State, "reason", ending.reason)
+		r.steps.Add("stage", "stage", s.Name, "pool", s.Pool, "tries", r.reports[i].Tries, "state", ending.state, "reason", ending.reason)
 		if !ending.done {
 			return r.fail(i, ending)
 		}
--- a/core/entry/stage.go
+++ b/core/entry/stage.go
@@ -163,8 +163,7 @@
 	}
 	c := &collector{task: t, most: e.opts.AnswerBytes}
 	began := time.Now()
-	hello, _ := s.peer.Hello()
-	t.run.steps.Add("send", "stage", t.stage.Name, "try", number, "server", s.name, "domain", hello.Domain, "left", t.run.deadline.Sub(began))
+	t.run.steps.Add("send", "stage", t.stage.Name, "try", number, "server", s.name, "domain", s.domain, "left", t.run.deadline.Sub(began))
 	end, err := s.peer.Call(ctx, call, c)
 	verdict := judge.Attempt(t.stage.Idempotent, end, err)
 	t.lost(s, verdict, end, err)
--- a/core/entry/trail_test.go
+++ b/core/entry/trail_test.go
@@ -30,14 +30,16 @@
 		within     time.Duration
 		outcome    sequoialead.Outcome
 		cause      string
+		// state is that of the stage in the log; empty if there is none.
+		state string
 	}{
 		{"the answer of a stage that must not be repeated is lost", false, errs(errors.New("connection lost")), 0,
-			sequoialead.OutcomeUnknown, `the answer of a1 is lost; it may have run: connection lost, and the request must not be sent again`},
+			sequoialead.OutcomeUnknown, `the answer of a1 is lost; it may have run: connection lost, and the request must not be sent again`, "unknown"},
 		{"no agent takes it", true, ends(sequoialead.EndRefused, sequoialead.ReasonFull), 200 * time.Millisecond,
-			sequoialead.OutcomeNotRun, `agent a1 does not start it: full, and no other agent took it in time \(.*\)`},
+			sequoialead.OutcomeNotRun, `agent a1 does not start it: full, and no other agent took it in time \(.*\)`, "not-run"},
 		{"too little time", true, slow, 60 * time.Millisecond,
-			sequoialead.OutcomeNotRun, `its stages would take .* \(deadline\); refused truthfully, not run`},
-		{"no such pipeline", true, nil, 0, sequoialead.OutcomeNotRun, `not-run: pipeline`},
+			sequoialead.OutcomeNotRun, `its stages would take .* \(deadline\); refused truthfully, not run`, ""},
+		{"no such pipeline", true, nil, 0, sequoialead.OutcomeNotRun, `not-run: pipeline`, ""},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -65,6 +67,13 @@
 			c.Assert(answer.Outcome, qt.Equals, test.outcome)
 			account := explain.New(answer.ID)
 			c.Assert(account.Read(&log), qt.IsNil)
+			state := ""
+			for _, step := range account.Steps() {
+				if step.Event == "stage" {
+					state = step.Fields["state"]
+				}
+			}
+			c.Assert(state, qt.Equals, test.state)
 			c.Assert(account.Cause(), qt.Matches, test.cause)
 		})
 	}
