watch: Call a failing store once for all topics, and leave it to the reader first

Each entry retried each of its three topics on its own, every 50 to 400 ms, as long as the store was away (274 by synced entries that are not readers, 122 by entries that had just started). 168 more were reads by entries whose reader was only lost or too old for a moment.

Ruled out: announcements (168 calls), history that was lost (4 calls).

Change: storegate lets one call through for all topics of an entry while the store fails, and the more entries read before this one, the more seldom; the first success wakes all topics. An entry whose reader does not answer, or answers with old records, asks the other entries again and reads the store itself only once its records are 1.25 intervals old, which leaves time for one more read within the bounds. An entry with old records is skipped for 0.5 s, not for 2 s: the one that takes over is current soon.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -46,9 +46,14 @@
 	// queryTimeout is the timeout of a request. It allows several round trips, and
 	// takes little of the time within which a change must be in force.
 	queryTimeout = 150 * time.Millisecond
-	// skipPeriod is how long an entry is skipped after it did not answer or its
-	// records were too old.
+	// skipPeriod is how long an entry is skipped after it did not answer.
 	skipPeriod = 2 * time.Second
+	// stalePeriod is how long an entry is skipped after its records were too old. It
+	// is shorter, because an entry that takes over from the reader of its failure
+	// domain has current records soon.
+	stalePeriod = 500 * time.Millisecond
+	// maxRank bounds the result of Rank.
+	maxRank = 4
 )
 
 // Relay chooses the entries to ask. It is safe for concurrent use.
@@ -56,26 +61,42 @@
 	opts Options
 
 	mu sync.Mutex
-	// skipUntil holds the time until which an entry is skipped, by name.
-	skipUntil map[string]time.Time
+	// skipUntil and staleUntil hold the time until which an entry is skipped, by
+	// name: because it did not answer, and because its records were too old.
+	skipUntil  map[string]time.Time
+	staleUntil map[string]time.Time
 }
 
 // New returns a relay.
-func New(opts Options) *Relay { return &Relay{opts: opts, skipUntil: map[string]time.Time{}} }
+func New(opts Options) *Relay {
+	return &Relay{opts: opts, skipUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}}
+}
 
 // IsReader reports whether this entry should read a topic for the others.
 func (r *Relay) IsReader(topic sequoialead.Topic, entries []membership.Member) bool {
-	names := r.rank(topic, entries, 1)
+	names := r.rank(topic, entries, 1, false)
 	return len(entries) > 1 && len(names) > 0 && names[0] == r.opts.Self.Name
 }
 
+// Rank returns the number of entries that read a topic before this one does, at most
+// maxRank. Entries whose records were too old count, since they may read again before
+// this entry does.
+func (r *Relay) Rank(topic sequoialead.Topic, entries []membership.Member) int {
+	for i, name := range r.rank(topic, entries, maxRank, true) {
+		if name == r.opts.Self.Name {
+			return i
+		}
+	}
+	return min(maxRank, max(len(entries)-1, 0))
+}
+
 // Read asks other entries for the records of a topic from an offset on, as read
 // from the store at most age ago. It returns the name of the entry that
 // answered, and reports false if this entry should read the store itself. The
 // caller must take the age in the response as of the time the request was sent,
 // so that the time in transit can't make records seem newer than they are.
 func (r *Relay) Read(ctx context.Context, request protocol.RecordsRequest, entries []membership.Member, age time.Duration) (response protocol.RecordsResponse, from string, ok bool) {
-	for _, name := range r.rank(request.Topic, entries, maxCandidates) {
+	for _, name := range r.rank(request.Topic, entries, maxCandidates, false) {
 		if name == r.opts.Self.Name {
 			return protocol.RecordsResponse{}, "", false
 		}
@@ -100,19 +121,23 @@
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	response, ok := r.opts.Peers.QueryRecords(ctx, name, request)
-	if !ok || response.Complete && response.Age > age {
-		r.mu.Lock()
-		r.skipUntil[name] = r.opts.Now().Add(skipPeriod)
-		r.mu.Unlock()
-		return protocol.RecordsResponse{}, false
+	stale := response.Complete && response.Age > age
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch now := r.opts.Now(); {
+	case !ok:
+		r.skipUntil[name] = now.Add(skipPeriod)
+	case stale:
+		r.staleUntil[name] = now.Add(stalePeriod)
 	}
-	return response, response.Complete
+	return response, ok && !stale && response.Complete
 }
 
 // rank returns up to count entries to ask for a topic, in order of preference.
 // The order comes from rendezvous hashing: all entries get the same one, apart
-// from the entries that they skip.
-func (r *Relay) rank(topic sequoialead.Topic, entries []membership.Member, count int) []string {
+// from the entries that they skip. Entries with old records are skipped unless
+// withStale is set.
+func (r *Relay) rank(topic sequoialead.Topic, entries []membership.Member, count int, withStale bool) []string {
 	now := r.opts.Now()
 	var names []string
 	r.mu.Lock()
@@ -120,8 +145,7 @@
 		if len(entries) > maxEntries && e.Domain != r.opts.Self.Domain {
 			continue
 		}
-		if now.After(r.skipUntil[e.Name]) {
-			delete(r.skipUntil, e.Name)
+		if now.After(r.skipUntil[e.Name]) && (withStale || now.After(r.staleUntil[e.Name])) {
 			names = append(names, e.Name)
 		}
 	}
--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -62,17 +62,20 @@
 	retryBackoff.InitialInterval = retryMin
 	retryBackoff.MaxInterval = retryMax
 	for f.watcher.tomb.Alive() {
+		recovered := f.watcher.storeRecovered()
 		started := f.watcher.opts.Now()
 		entries := f.watcher.Members(started)
-		err := f.read(started, entries)
-		if err == nil {
+		done, err := f.read(started, entries)
+		if done {
 			retryBackoff.Reset()
 			f.reads++
-			f.sleep(f.nextInterval(entries) - f.watcher.opts.Now().Sub(started))
+			f.sleep(f.nextInterval(entries)-f.watcher.opts.Now().Sub(started), nil)
 			continue
 		}
-		f.readFailed(err)
-		f.sleep(retryBackoff.NextBackOff())
+		if err != nil {
+			f.readFailed(err)
+		}
+		f.sleep(retryBackoff.NextBackOff(), recovered)
 	}
 	return nil
 }
@@ -90,7 +93,8 @@
 	return interval
 }
 
-func (f *follower) sleep(d time.Duration) {
+// sleep returns after d, or once wakeup is closed.
+func (f *follower) sleep(d time.Duration, wakeup <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -98,32 +102,52 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-wakeup:
 	case <-f.watcher.tomb.Dying():
 	}
 }
 
 // read brings the topic up to date: from the entry that reads it for the others
-// if there is one, else from the store, else from any entry that has read it.
-func (f *follower) read(started time.Time, entries []membership.Member) error {
+// if there is one, else from the store, else from any entry that has read it. It
+// reports false without an error if another entry is expected to have newer records
+// soon.
+func (f *follower) read(started time.Time, entries []membership.Member) (done bool, err error) {
+	relay := f.watcher.opts.Relay
 	background := f.watcher.tomb.Context(context.Background())
 	request := protocol.RecordsRequest{Topic: f.topic, From: f.next}
+	rank := 0
 	if f.synced {
-		if response, from, ok := f.watcher.opts.Relay.Read(background, request, entries, f.ageLimit(maxRelayAge)); ok {
+		if response, from, ok := relay.Read(background, request, entries, f.ageLimit(maxRelayAge)); ok {
 			f.applyRelayed(response, from, started)
-			return nil
+			return true, nil
+		}
+		rank = relay.Rank(f.topic, entries)
+		if rank > 0 && !relay.IsReader(f.topic, entries) && f.lease.Valid(started, f.ageLimit(ownReadAge)) {
+			return false, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(background, f.watcher.timeout())
-	defer cancel()
-	err := f.readStore(ctx, f.watcher.opts.Now())
+	err = f.tryStore(background, rank)
 	if err == nil || !f.synced || !f.watcher.tomb.Alive() {
-		return err
+		return err == nil, err
 	}
 	now := f.watcher.opts.Now()
-	if response, from, ok := f.watcher.opts.Relay.ReadAny(background, request, entries, f.ageLimit(maxReadAnyAge)); ok {
+	if response, from, ok := relay.ReadAny(background, request, entries, f.ageLimit(maxReadAnyAge)); ok {
 		f.applyRelayed(response, from, now)
-		return nil
+		return true, nil
 	}
+	return false, err
+}
+
+// tryStore reads the topic from the store, unless the store has failed and the next
+// attempt is not due.
+func (f *follower) tryStore(ctx context.Context, rank int) error {
+	if !f.watcher.allowStoreRead(rank) {
+		return sequoialead.ErrPlatform.New("not read, because the store has just failed")
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.watcher.timeout())
+	defer cancel()
+	err := f.readStore(ctx, f.watcher.opts.Now())
+	f.watcher.recordStoreRead(err == nil, rank)
 	return err
 }
 
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -17,6 +17,7 @@
 	"sequoialead/core/protocol"
 	"sequoialead/core/proxyconfig"
 	"sequoialead/core/serverset"
+	"sequoialead/core/storegate"
 )
 
 // Intervals and timeouts of the reads. The platform charges for each read, so
@@ -54,9 +55,12 @@
 	// time for a read over another one.
 	readTimeout  = 1200 * time.Millisecond
 	timeoutShare = 0.25
-	// retryMin and retryMax bound the backoff after a failed read. It is long
-	// enough that retries of all entries together stay below the store's rate
-	// limit.
+	// ownReadAge is the age of the records, as a multiple of the interval, from which
+	// an entry that finds no reader reads the store itself. Until then another entry
+	// has time to take over from the reader.
+	ownReadAge = 1.25
+	// retryMin and retryMax bound the backoff after a failed read, from other entries
+	// or from the store.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
 )
@@ -79,6 +83,9 @@
 type Relay interface {
 	// IsReader reports whether this entry should read a topic for the others.
 	IsReader(topic sequoialead.Topic, entries []membership.Member) bool
+	// Rank returns the number of entries that should read a topic before this one
+	// does. It may be bounded.
+	Rank(topic sequoialead.Topic, entries []membership.Member) int
 	// Read asks the entries that read for the others. ReadAny asks any other entry
 	// after a failed read of the store. Both ignore responses older than age, and
 	// report false if there is no usable response.
@@ -128,13 +135,17 @@
 	offsets map[string]uint64
 	// followers maps each topic to the follower that reads it.
 	followers map[sequoialead.Topic]*follower
+	// gate limits the calls to the store while it fails. recovered is closed, and
+	// replaced, once it can be read again.
+	gate      *storegate.Gate
+	recovered chan struct{}
 }
 
 var _ sequoialead.Service = (*Watcher)(nil)
 
 // New returns a watcher without any records. Start begins to read.
 func New(opts Options) *Watcher {
-	return &Watcher{
+	w := &Watcher{
 		opts:         opts,
 		lease:        lease.New(),
 		serversLease: lease.New(),
@@ -142,7 +153,10 @@
 		members:      membership.New(membership.Options{Self: opts.Self, AssumedEntries: opts.AssumedEntries, TTL: 4 * entriesInterval}),
 		offsets:      map[string]uint64{},
 		followers:    map[sequoialead.Topic]*follower{},
+		recovered:    make(chan struct{}),
 	}
+	w.gate = storegate.New(storegate.Options{Min: retryMin, Max: retryMax, Limit: max(w.operatorInterval(), retryMax)})
+	return w
 }
 
 // Start begins to read in the background. It does not wait for the store.
@@ -169,6 +183,34 @@
 	return time.Duration(min(applyShare*float64(w.opts.Apply), revokeShare*float64(w.opts.Revoke)))
 }
 
+// allowStoreRead reports whether the store may be read now, for an entry of the given
+// rank among the topic's readers.
+func (w *Watcher) allowStoreRead(rank int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gate.Allow(w.opts.Now(), rank)
+}
+
+// recordStoreRead records whether a read of the store succeeded.
+func (w *Watcher) recordStoreRead(ok bool, rank int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !ok {
+		w.gate.Failed(w.opts.Now(), rank)
+	} else if w.gate.Succeeded() {
+		close(w.recovered)
+		w.recovered = make(chan struct{})
+	}
+}
+
+// storeRecovered returns a channel that is closed once the store can be read again
+// after a failure.
+func (w *Watcher) storeRecovered() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.recovered
+}
+
 // Close stops reading and waits until all reads have ended.
 func (w *Watcher) Close() error {
 	w.tomb.Kill(nil)
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,12 +134,19 @@
 	reader   *watch.Watcher
 	anyEntry *watch.Watcher
 	isReader bool
+	rank     int
 	// extraAge is added to the age in responses.
 	extraAge time.Duration
+	// lost makes all entries unreachable.
+	lost atomic.Bool
 }
 
+func (m *siblings) lose(lost bool) { m.lost.Store(lost) }
+
 func (m *siblings) IsReader(sequoialead.Topic, []membership.Member) bool { return m.isReader }
 
+func (m *siblings) Rank(sequoialead.Topic, []membership.Member) int { return m.rank }
+
 func (m *siblings) Read(_ context.Context, request protocol.RecordsRequest, _ []membership.Member, age time.Duration) (protocol.RecordsResponse, string, bool) {
 	return m.answer(m.reader, request, age)
 }
@@ -148,7 +156,7 @@
 }
 
 func (m *siblings) answer(w *watch.Watcher, request protocol.RecordsRequest, age time.Duration) (protocol.RecordsResponse, string, bool) {
-	if w == nil {
+	if w == nil || m.lost.Load() {
 		return protocol.RecordsResponse{}, "", false
 	}
 	response := w.RecordsSince(request)
