--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -251,7 +251,7 @@
 			b.dispatchLater(q)
 			return
 		}
-		c := &call{q: q, conf: conf, place: place, batch: q.takeBatch(conf.Pieces.MaxBatch, place.Server, room, b.placementFunc(q, conf, now))}
+		c := &call{q: q, conf: conf, place: place, batch: q.takeBatch(conf.Pieces.MaxBatch, place.Server, room, b.localWaitFunc(q, conf, now))}
 		for _, p := range c.batch {
 			b.rooms.reserve(q.name, place.Server.ID, p.piece.Bytes)
 		}
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -17,42 +17,30 @@
 // that can get one. It also returns the room for results there, in bytes. The place
 // is nil if no order can get one.
 func (b *Batcher) findPlace(q *queue, conf *proxyconfig.Pool, now time.Time) (*pool.Place, int) {
-	place := b.placementFunc(q, conf, now)
+	waitsForLocal := b.localWaitFunc(q, conf, now)
 	leads := b.opts.Pools.LedServers(q.name) > 0
 	for _, o := range q.orders[:min(len(q.orders), maxOrdersTried)] {
 		need := min(o.pendingBytes(conf.Pieces.MaxBatch), conf.Pieces.RoomBytes)
-		acquired, _ := b.opts.Pools.Acquire(q.name, pool.Request{
+		place, _ := b.opts.Pools.Acquire(q.name, pool.Request{
 			Exclude: o.failedServers, Domain: o.order.Domain,
 			HasCapacity: func(server sequoialead.Server, led bool) bool {
 				if leads && !led {
 					return false // the server's leader assumes that no other entry sends it calls
 				}
-				return place(o, server.Domain) != placementWait && b.rooms.freeRoom(conf.Pieces.RoomBytes, server.ID, led, now) >= need
+				return !waitsForLocal(o, server.Domain) && b.rooms.freeRoom(conf.Pieces.RoomBytes, server.ID, led, now) >= need
 			},
 		})
-		if acquired != nil {
-			return acquired, max(b.rooms.freeRoom(conf.Pieces.RoomBytes, acquired.Server.ID, acquired.Led, now), need)
+		if place != nil {
+			return place, max(b.rooms.freeRoom(conf.Pieces.RoomBytes, place.Server.ID, place.Led, now), need)
 		}
 	}
 	return nil, 0
 }
 
-// placement tells whether an order should be made in a failure domain.
-type placement int
-
-const (
-	// placementLocal: in its own domain, or in any.
-	placementLocal placement = iota
-	// placementAway: in another domain than its own, because the queue is long.
-	placementAway
-	// placementWait: not there, because a backend server of its own domain is
-	// expected soon.
-	placementWait
-)
-
-// placementFunc returns a function that tells whether an order should be made in a
-// given failure domain.
-func (b *Batcher) placementFunc(q *queue, conf *proxyconfig.Pool, now time.Time) func(o *pendingOrder, domain string) placement {
+// localWaitFunc returns a function that reports whether an order should wait
+// for a backend server of its own failure domain rather than be made in the
+// given one.
+func (b *Batcher) localWaitFunc(q *queue, conf *proxyconfig.Pool, now time.Time) func(o *pendingOrder, domain string) bool {
 	loaded := float64(q.pendingPieces()) > localWaitMaxLoad*float64(conf.Pieces.MaxBatch*max(b.opts.Pools.LedServers(q.name), 1))
 	domainHasServers := map[string]bool{"": false}
 	for _, o := range q.orders {
@@ -60,16 +48,8 @@
 			domainHasServers[o.order.Domain] = b.opts.Pools.HasDomain(q.name, o.order.Domain)
 		}
 	}
-	return func(o *pendingOrder, domain string) placement {
-		switch {
-		case o.order.Domain == domain || !domainHasServers[o.order.Domain] || !now.Before(o.localWaitDeadline(q.callTime)):
-			return placementLocal
-		case !loaded:
-			return placementWait
-		case o.started:
-			return placementLocal // its results take up room until the rest is made
-		}
-		return placementAway
+	return func(o *pendingOrder, domain string) bool {
+		return !loaded && o.order.Domain != domain && domainHasServers[o.order.Domain] && now.Before(o.localWaitDeadline(q.callTime))
 	}
 }
 
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -243,16 +243,17 @@
 // takeBatch removes the pieces of one call from the queue. It takes whole orders
 // that fit both the remaining pieces of the call and the remaining room. The first
 // order taken is split if it does not fit. Orders that already failed at the backend
-// server are skipped, and so are orders that wait for one in their own failure domain.
-// Of the orders that are not late, those that prefer another domain come last: a full
-// queue has enough others to fill the call.
-func (q *queue) takeBatch(maxPieces int, server sequoialead.Server, room int, place func(o *pendingOrder, domain string) placement) []*pendingPiece {
+// server, or that wait for one in their own failure domain, are skipped.
+func (q *queue) takeBatch(maxPieces int, server sequoialead.Server, room int, waitsForLocal func(o *pendingOrder, domain string) bool) []*pendingPiece {
 	var batch []*pendingPiece
-	take := func(o *pendingOrder) {
+	for _, o := range q.orders {
 		maxLeft := maxPieces - len(batch)
+		if maxLeft == 0 {
+			break
+		}
 		fits := len(o.pending) <= maxLeft && o.pendingBytes(maxLeft) <= room
-		if o.failedServers[server.ID] || !fits && len(batch) > 0 {
-			return
+		if o.failedServers[server.ID] || waitsForLocal(o, server.Domain) || !fits && len(batch) > 0 {
+			continue
 		}
 		n := 0
 		for n < len(o.pending) && n < maxLeft && o.pending[n].piece.Bytes <= room {
@@ -263,16 +264,6 @@
 		o.pending = o.pending[n:]
 		o.started = o.started || n > 0
 	}
-	for _, pass := range []struct {
-		late  bool
-		place placement
-	}{{false, placementLocal}, {false, placementAway}, {true, placementLocal}, {true, placementAway}} {
-		for _, o := range q.orders {
-			if len(batch) < maxPieces && len(o.pending) > 0 && o.late == pass.late && place(o, server.Domain) == pass.place {
-				take(o)
-			}
-		}
-	}
 	q.orders = slices.DeleteFunc(q.orders, func(o *pendingOrder) bool {
 		o.queued = len(o.pending) > 0
 		return !o.queued
