forward: Start a stage on a short path when the long one has as far to go

Change: core/stageplan estimates the paths of a request from the backlogs. A stage without inputs whose path is at least 1.5 times shorter than what is left after another stage starts that much later.

--- a/core/forward/stages.go
+++ b/core/forward/stages.go
@@ -10,6 +10,7 @@
 	"sequoialead"
 	"sequoialead/core/batch"
 	"sequoialead/core/proxyconfig"
+	"sequoialead/core/stageplan"
 )
 
 // stageRun runs the stages of one request. Its slices are indexed by stage.
@@ -24,6 +25,7 @@
 	done    []chan struct{}
 	// consumers counts the stages that still need the results of each stage.
 	consumers []atomic.Int32
+	plan      *stageplan.Plan
 }
 
 // runStages makes the pieces of all stages, each stage as soon as those that it
@@ -36,7 +38,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &stageRun{
-		f: f, j: j, pieceCounts: counts, consumers: countConsumers(j.route.Stages, counts),
+		f: f, j: j, pieceCounts: counts, consumers: countConsumers(j.route.Stages, counts), plan: f.planStages(j, counts),
 		results: make([][]batch.Result, len(counts)), reasons: make([]sequoialead.Reason, len(counts)), done: make([]chan struct{}, len(counts)),
 	}
 	for i := range s.done {
@@ -69,6 +71,9 @@
 			return s.reasons[a]
 		}
 	}
+	if reason := s.awaitStart(ctx, i); reason != "" {
+		return reason
+	}
 	dropInputs := sync.OnceFunc(func() { s.dropInputs(preceding) })
 	name := j.route.Stages[i].Pool
 	start := f.opts.Now()
@@ -93,6 +98,38 @@
 	return reason
 }
 
+// awaitStart waits until a stage should start.
+func (s *stageRun) awaitStart(ctx context.Context, i int) sequoialead.Reason {
+	after, wait, ok := s.plan.Start(i)
+	if !ok {
+		return ""
+	}
+	<-s.done[after]
+	if s.reasons[after] != "" {
+		return s.reasons[after]
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ""
+	case <-ctx.Done():
+		return sequoialead.ReasonCancelled
+	}
+}
+
+// planStages returns the plan for the stages of a request, from the current backlogs.
+func (f *Forwarder) planStages(j *job, counts []int) *stageplan.Plan {
+	stages := make([]stageplan.Stage, len(counts))
+	for i, count := range counts {
+		stages[i].After = j.route.Stages[i].After
+		if count > 0 {
+			stages[i].Took = f.delegate.Estimate(poolAccess{f}.Conf(j.route.Stages[i].Pool), j.request.ID, j.urgency, count)
+		}
+	}
+	return stageplan.New(stages)
+}
+
 // dropInputs records that one consumer has read the results of the given stages,
 // and frees those that no other stage needs.
 func (s *stageRun) dropInputs(stages []int) {
