groups, relay: Let entries on large machines lead and read for the others

Change: the record of an entry tells the processor time of its machine (new setting cpu, from the platform's limits); leaders and readers are chosen among the entries with at least half of the largest. Entries of the old build, whose records do not tell, count as small beside new ones.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -111,7 +111,7 @@
 		Name: s.name, Log: log, OnChange: changed,
 		Handler: &siblingHandler{delegate: func() *delegate.Delegate { return forwarder.Delegate() }, watcher: func() *watch.Watcher { return watcher }},
 	})
-	self := membership.Member{Name: s.name, Domain: s.domain, Addr: s.advertisedAddr()}
+	self := membership.Member{Name: s.name, Domain: s.domain, Addr: s.advertisedAddr(), CPU: s.cpu}
 	watcher = watch.New(watch.Options{
 		Self:           self,
 		Store:          platform.NewStore(client, s.store),
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -28,7 +28,9 @@
 	metrics netip.AddrPort
 	store   netip.AddrPort
 	// memory is the maximum memory of the process, in MiB.
-	memory  int
+	memory int
+	// cpu is the processor time that the machine provides, in cores.
+	cpu     float64
 	entries int
 	grace   time.Duration
 	revoke  time.Duration
@@ -67,6 +69,7 @@
 	flags.TextVar(&s.metrics, "metrics", netip.AddrPort{}, "IP:PORT to serve metrics on; no metrics if missing")
 	flags.TextVar(&s.store, "store", netip.AddrPort{}, "IP:PORT of the platform's store")
 	flags.IntVar(&s.memory, "memory", defaultGatewayMemory, "the maximum memory in megabytes, such as 256")
+	flags.Float64Var(&s.cpu, "cpu", 0, "the processor time that the machine provides, in cores, such as 0.3; entries with much of it work for the others")
 	flags.IntVar(&s.entries, "entries", defaultGatewayEntries, "the number of entries to assume until the store has been read")
 	flags.DurationVar(&s.grace, "grace", defaultGatewayGrace, "the maximum time from the signal to stop until the process exits, such as 8s")
 	flags.DurationVar(&s.revoke, "revoke", defaultGatewayRevoke, "the time within which a revoked key is refused, such as 5s")
--- a/core/groups/groups.go
+++ b/core/groups/groups.go
@@ -93,18 +93,21 @@
 // Servers returns the IDs of the backend servers that an entry leads.
 func (g *Groups) Servers(entry string) map[string]bool { return g.servers[entry] }
 
-// chooseLeader chooses the leader of a group by rendezvous hashing, among the entries
-// of the group's failure domain, or among all entries if that domain has none.
+// chooseLeader chooses the leader of a group by rendezvous hashing, among the strong
+// entries of the group's failure domain, or of all domains if that one has no entry.
 func chooseLeader(pool, group string, entries []membership.Member) string {
-	var local, all []string
+	var local []membership.Member
 	for _, e := range entries {
-		all = append(all, e.Name)
 		if e.Domain == group {
-			local = append(local, e.Name)
+			local = append(local, e)
 		}
 	}
 	if len(local) == 0 {
-		local = all
+		local = entries
 	}
-	return rendezvous.New(local, xxhash.Sum64String).Lookup(pool + "/" + group)
+	var names []string
+	for _, e := range membership.Strong(local) {
+		names = append(names, e.Name)
+	}
+	return rendezvous.New(names, xxhash.Sum64String).Lookup(pool + "/" + group)
 }
--- a/core/groups/groups_test.go
+++ b/core/groups/groups_test.go
@@ -50,6 +50,26 @@
 	c.Assert(g.Leaders(), qt.HasLen, 2)
 }
 
+// In a fleet of machines of different sizes, a small one that leads a group can't keep
+// up with the orders of its failure domain.
+func TestStrongEntriesLead(t *testing.T) {
+	c := qt.New(t)
+	list := entries(34, "a", "b")
+	strong := map[string]bool{}
+	for i := range list {
+		list[i].CPU = 0.144
+		if i >= 14 && i < 18 {
+			list[i].CPU = 0.8
+			strong[list[i].Name] = true
+		}
+	}
+	for i := range 20 {
+		for _, leader := range groups.New(fmt.Sprint("pool", i), list, servers(20, "a", "b")).Leaders() {
+			c.Assert(strong[leader], qt.IsTrue, qt.Commentf("%s", leader))
+		}
+	}
+}
+
 // The requests of a failure domain without backend servers are spread over all groups.
 func TestRequestsOfDomainWithoutServersAreSpread(t *testing.T) {
 	c := qt.New(t)
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -28,6 +28,32 @@
 	Domain string `cbor:"2,keyasint"`
 	// Addr is where the entry accepts connections from other entries.
 	Addr netip.AddrPort `cbor:"3,keyasint"`
+	// CPU is the processor time that the entry's machine provides, in cores; zero if
+	// the record doesn't tell.
+	CPU float64 `cbor:"4,keyasint,omitempty"`
+}
+
+// strongShare is the smallest processor time of a strong entry, as a part of that of
+// the strongest one.
+const strongShare = 0.5
+
+// Strong returns the entries that should take on work for others: those with at least
+// half of the processor time of the strongest of them.
+func Strong(entries []Member) []Member {
+	most := 0.0
+	for _, e := range entries {
+		most = max(most, e.CPU)
+	}
+	var strong []Member
+	for _, e := range entries {
+		if e.CPU >= strongShare*most {
+			strong = append(strong, e)
+		}
+	}
+	if len(strong) == 0 {
+		return entries // their records hold no usable number
+	}
+	return strong
 }
 
 type observation struct {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -134,27 +134,31 @@
 }
 
 // rank returns up to count entries to ask for a topic, in order of preference.
-// The order comes from rendezvous hashing: all entries get the same one, apart
-// from the entries that they skip. Entries with old records are skipped unless
+// Strong entries come first. Among them the order comes from rendezvous hashing: all
+// entries get the same one, apart from the entries that they skip. Entries with old records are skipped unless
 // withStale is set.
 func (r *Relay) rank(topic sequoialead.Topic, entries []membership.Member, count int, withStale bool) []string {
 	now := r.opts.Now()
-	var names []string
+	var candidates []membership.Member
 	r.mu.Lock()
 	for _, e := range entries {
 		if len(entries) > maxEntries && e.Domain != r.opts.Self.Domain {
 			continue
 		}
 		if now.After(r.skipUntil[e.Name]) && (withStale || now.After(r.staleUntil[e.Name])) {
-			names = append(names, e.Name)
+			candidates = append(candidates, e)
 		}
 	}
 	r.mu.Unlock()
 	var ranked []string
-	for len(ranked) < count && len(names) > 0 {
+	for len(ranked) < count && len(candidates) > 0 {
+		var names []string
+		for _, e := range membership.Strong(candidates) {
+			names = append(names, e.Name)
+		}
 		best := rendezvous.New(names, xxhash.Sum64String).Lookup(string(topic))
 		ranked = append(ranked, best)
-		names = slices.DeleteFunc(names, func(name string) bool { return name == best })
+		candidates = slices.DeleteFunc(candidates, func(e membership.Member) bool { return e.Name == best })
 	}
 	return ranked
 }
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -62,6 +62,51 @@
 	c.Assert(readers(newEntries(100)), qt.HasLen, 4) // one in each failure domain
 }
 
+// A small machine that reads for many others has too little left for its callers.
+func TestStrongEntryReads(t *testing.T) {
+	c := qt.New(t)
+	for i := range 12 {
+		entries := newEntries(12)
+		for k := range entries {
+			entries[k].CPU = 0.144
+		}
+		entries[i].CPU = 0.8
+		c.Assert(readers(entries), qt.DeepEquals, []string{entries[i].Name})
+	}
+}
+
+// Rank counts the entries whose records are too old, since these are about to read
+// again, but not those that don't answer.
+func TestRank(t *testing.T) {
+	c := qt.New(t)
+	entries := newEntries(9)
+	first := readers(entries)[0]
+	self := entries[0]
+	if self.Name == first {
+		self = entries[1]
+	}
+	peers := &fakePeers{ages: map[string]time.Duration{}}
+	for _, e := range entries {
+		peers.ages[e.Name] = time.Hour
+	}
+	now := time.Unix(1000, 0)
+	r := relay.New(relay.Options{Self: self, Peers: peers, Now: func() time.Time { return now }})
+	before := r.Rank(topic, entries)
+	c.Assert(before > 0 && before <= 4, qt.IsTrue)
+	_, _, ok := r.Read(context.Background(), protocol.RecordsRequest{Topic: topic}, entries, time.Second)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(r.Rank(topic, entries), qt.Equals, before)
+	now = now.Add(time.Second)
+	for _, e := range entries {
+		peers.ages[e.Name] = -1
+	}
+	for range entries {
+		r.ReadAny(context.Background(), protocol.RecordsRequest{Topic: topic}, entries, time.Second)
+	}
+	c.Assert(r.Rank(topic, entries), qt.Equals, 0)
+	c.Assert(relay.New(relay.Options{Self: self, Peers: peers, Now: time.Now}).Rank(topic, entries[:0]), qt.Equals, 0)
+}
+
 func TestReadAsksBestEntriesInTurn(t *testing.T) {
 	entries := newEntries(5)
 	first := readers(entries)[0]
