link: Start over a connection that has failed already

Cause: New starts three goroutines one by one; if the peer is gone, the first may end before the second is started, and the tomb is then closed. The panic left the connection open, without a reader.

All goroutines start from one that waits for the end. The test panics on the old code within 0.1 s.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -73,9 +73,10 @@
 	l.encoder = cbor.NewEncoder(&l.buffer)
 	l.traffic.lastReceived.Store(time.Now().UnixNano())
 	opts.Conn.SetReadLimit(MaxMessageBytes)
-	l.tomb.Go(l.read)
-	l.tomb.Go(l.sendPending)
 	l.tomb.Go(func() error {
+		// Started from here, since a tomb whose only goroutine has ended accepts no other.
+		l.tomb.Go(l.sendPending)
+		l.tomb.Go(l.read)
 		<-l.tomb.Dying()
 		return opts.Conn.Close()
 	})
