sibling: Let an entry that is silent for a moment keep its orders

Cause: an entry that left 0.9 s of heartbeats unanswered had its connections closed by all others; the orders that ran there were given up and sent elsewhere. Work that is started again loads the next entry.

Change: after three unanswered heartbeats an entry gets no new orders; it keeps those that it has until the connection has been silent for 1.8 s, the time after which a process that was suspended drops old messages itself. Silence is counted in heartbeats of this process, so that a process without processor time does not find all others silent when it resumes.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -43,6 +44,9 @@
 	// ReadTimeout is how long the connection may go without receiving a message
 	// before it is closed; 0 for DefaultReadTimeout.
 	ReadTimeout time.Duration
+	// StaleAfter is the time between two messages after which the second one is taken
+	// as outdated, because this process was suspended; 0 for twice the ReadTimeout.
+	StaleAfter time.Duration
 }
 
 // Link is one open connection.
@@ -58,6 +62,9 @@
 	buffer  bytes.Buffer
 	encoder *cbor.Encoder
 
+	// silentTicks counts the calls of Tick since the last message.
+	silentTicks atomic.Int32
+
 	pendingMu sync.Mutex
 	// pending holds the frames not yet taken by sendPending, in order.
 	pending []protocol.Frame
@@ -69,6 +76,9 @@
 	if opts.ReadTimeout == 0 {
 		opts.ReadTimeout = DefaultReadTimeout
 	}
+	if opts.StaleAfter == 0 {
+		opts.StaleAfter = 2 * opts.ReadTimeout
+	}
 	l := &Link{opts: opts, queue: make(chan protocol.Frame, QueueCapacity), wakeup: make(chan struct{}, 1)}
 	l.encoder = cbor.NewEncoder(&l.buffer)
 	l.traffic.lastReceived.Store(time.Now().UnixNano())
@@ -158,6 +168,11 @@
 	return time.Since(time.Unix(0, l.traffic.lastReceived.Load()))
 }
 
+// Tick must be called at regular intervals to measure silence. It returns the number
+// of calls since the last message. A process that had no processor time for a while
+// calls Tick once when it resumes, and so does not take all its peers for silent.
+func (l *Link) Tick() int { return int(l.silentTicks.Add(1)) }
+
 // Close closes the connection and waits for the link's goroutines to end. It
 // must not be called from Handle, which runs on one of them. The error is
 // always nil.
@@ -185,11 +200,12 @@
 		// they arrived and may have timed out at their sender. Such messages are
 		// not handled, and the link is closed.
 		now := time.Now()
-		if now.Sub(lastRead) > 2*l.opts.ReadTimeout {
+		if now.Sub(lastRead) > l.opts.StaleAfter {
 			return sequoialead.ErrLost.New("no message was received for %s; reconnecting", now.Sub(lastRead))
 		}
 		lastRead = now
 		l.traffic.lastReceived.Store(now.UnixNano())
+		l.silentTicks.Store(0)
 		if kind != websocket.BinaryMessage {
 			return sequoialead.ErrProtocol.New("received a message that is not binary; update the peer")
 		}
--- a/io/sibling/order.go
+++ b/io/sibling/order.go
@@ -22,6 +22,9 @@
 	// failed is set while there is no connection because dialing failed or the
 	// connection was lost.
 	failed bool
+	// silent is set while the entry is connected but has not been heard for more than
+	// maxMissed heartbeats.
+	silent bool
 	// lastID is the last ID given to an order or query.
 	lastID uint64
 	// pendingOrders holds the orders in flight, by ID.
@@ -40,11 +43,11 @@
 	onRead func()
 }
 
-// availablePeer returns an entry if it is connected and not leaving, else
-// nil. The caller holds mu.
+// availablePeer returns an entry if it is connected, and neither leaving nor silent;
+// else nil. The caller holds mu.
 func (s *Siblings) availablePeer(name string) *peer {
 	p := s.peers[name]
-	if p == nil || p.link == nil || p.leaving {
+	if p == nil || p.link == nil || p.leaving || p.silent {
 		return nil
 	}
 	return p
@@ -127,7 +130,7 @@
 	}
 	c := &inboundConn{siblings: s, cancels: map[uint64]context.CancelFunc{}}
 	c.ctx, c.stop = context.WithCancel(s.ctx)
-	l := link.New(link.Options{Conn: conn, Peer: r.Header.Get(headerName), ReadTimeout: readTimeout, Handle: c.handleFrame})
+	l := link.New(link.Options{Conn: conn, Peer: r.Header.Get(headerName), ReadTimeout: s.opts.ReadTimeout, StaleAfter: s.opts.ReadTimeout, Handle: c.handleFrame})
 	s.inboundLinks[l] = struct{}{}
 	s.tomb.Go(func() error {
 		<-l.Done()
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -29,13 +29,13 @@
 	dialTimeout = 500 * time.Millisecond
 	// redialInterval is the pause between attempts to connect to an entry. It is
 	// short so that orders are sent there again soon after a restart.
-	redialInterval = 400 * time.Millisecond
-	// heartbeatInterval and readTimeout bound how long an entry that hangs or is
-	// cut off from the network delays orders. Two heartbeats in a row may be
-	// lost.
+	redialInterval    = 400 * time.Millisecond
 	heartbeatInterval = 300 * time.Millisecond
-	readTimeout       = 900 * time.Millisecond
-	bufferSize        = 4 << 10
+	// maxMissed is the number of heartbeats in a row that an entry may leave
+	// unanswered before it gets no new orders. It may only be slow, and keeps the
+	// orders that it has.
+	maxMissed  = 3
+	bufferSize = 4 << 10
 )
 
 // Handler serves the requests of other entries and receives their backlogs.
@@ -64,8 +64,15 @@
 	// OnChange is called when an entry was connected, was disconnected or
 	// announced that it is leaving.
 	OnChange func()
+	// ReadTimeout is how long an entry that hangs or is cut off from the network delays
+	// the orders that it has; 0 for DefaultReadTimeout. An entry that resumes after
+	// longer drops its orders itself.
+	ReadTimeout time.Duration
 }
 
+// DefaultReadTimeout is the default of Options.ReadTimeout.
+const DefaultReadTimeout = 1800 * time.Millisecond
+
 // Siblings holds the connections to and from other entries.
 type Siblings struct {
 	opts Options
@@ -90,6 +97,9 @@
 
 // New returns a Siblings without connections.
 func New(opts Options) *Siblings {
+	if opts.ReadTimeout == 0 {
+		opts.ReadTimeout = DefaultReadTimeout
+	}
 	s := &Siblings{opts: opts, peers: map[string]*peer{}, addrs: map[string]netip.AddrPort{}, inboundLinks: map[*link.Link]struct{}{}}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
@@ -148,7 +158,7 @@
 	}
 }
 
-// EnsureConnected reports whether an entry is connected and not leaving. It starts to
+// EnsureConnected reports whether an entry is connected, and neither leaving nor silent. It starts to
 // connect to an entry on the first call for it.
 func (s *Siblings) EnsureConnected(name string) bool {
 	s.mu.Lock()
@@ -169,12 +179,12 @@
 }
 
 // Unavailable reports whether an entry that EnsureConnected was called for is
-// leaving, or could not be connected or has lost its connection.
+// leaving or silent, or could not be connected or has lost its connection.
 func (s *Siblings) Unavailable(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.peers[name]
-	return p != nil && (p.leaving || p.link == nil && p.failed)
+	return p != nil && (p.leaving || p.silent || p.link == nil && p.failed)
 }
 
 // sendHeartbeats sends heartbeats on the connections that this entry opened.
@@ -190,15 +200,23 @@
 		}
 		s.mu.Lock()
 		var links []*link.Link
+		changed := false
 		for _, p := range s.peers {
 			if p.link != nil {
 				links = append(links, p.link)
+				if !p.silent && p.link.Tick() > maxMissed {
+					p.silent, changed = true, true
+					s.opts.Log.Info("sibling-silent", "entry", p.name, "orders", len(p.pendingOrders))
+				}
 			}
 		}
 		s.mu.Unlock()
 		for _, l := range links {
 			l.SendAsync(protocol.Frame{Heartbeat: &protocol.Heartbeat{}})
 		}
+		if changed {
+			s.opts.OnChange()
+		}
 	}
 }
 
@@ -246,9 +264,9 @@
 // runConnection uses a connection to an entry until it is closed, and then
 // fails the orders and queries in flight on it.
 func (s *Siblings) runConnection(p *peer, conn *websocket.Conn) {
-	l := link.New(link.Options{Conn: conn, Peer: p.name, ReadTimeout: readTimeout, Handle: func(_ *link.Link, f protocol.Frame) { s.handleFrame(p, f) }})
+	l := link.New(link.Options{Conn: conn, Peer: p.name, ReadTimeout: s.opts.ReadTimeout, StaleAfter: s.opts.ReadTimeout, Handle: func(_ *link.Link, f protocol.Frame) { s.handleFrame(p, f) }})
 	s.mu.Lock()
-	p.link, p.leaving, p.failed = l, false, false
+	p.link, p.leaving, p.failed, p.silent = l, false, false, false
 	s.mu.Unlock()
 	s.opts.Log.Info("sibling-reached", "entry", p.name)
 	s.opts.OnChange()
@@ -258,7 +276,7 @@
 	}
 	_ = l.Close() // always nil
 	s.mu.Lock()
-	p.link, p.failed = nil, true
+	p.link, p.failed, p.silent = nil, true, false
 	for id, order := range p.pendingOrders {
 		close(order.reply)
 		delete(p.pendingOrders, id)
@@ -280,6 +298,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if p.silent {
+		p.silent = false
+		s.opts.Log.Info("sibling-heard", "entry", p.name)
+		go s.opts.OnChange() // mu is held here, so OnChange needs its own goroutine
+	}
 	switch {
 	case f.InputsRead != nil:
 		if order, ok := p.pendingOrders[f.InputsRead.ID]; ok && order.onRead != nil {
@@ -301,7 +324,7 @@
 		}
 	case f.Heartbeat != nil:
 		if f.Heartbeat.Leaving && !p.leaving {
-			go s.opts.OnChange() // the entry takes no more orders; mu is held here, so OnChange needs its own goroutine
+			go s.opts.OnChange() // the entry takes no more orders
 		}
 		p.leaving = f.Heartbeat.Leaving
 	}
