delegate: Connect to likely leaders alone

Cause: each entry kept a connection to every entry of its failure domain, with a heartbeat each way in 0.3 s: at 103 entries 16 connections out and 16 in, some 220 frames a second, though only entries on large machines lead since they are preferred.

Change: an entry connects to the strong entries of its domain, and to the leaders of the others; to the rest only if no strong one is left.

--- a/core/delegate/delegate.go
+++ b/core/delegate/delegate.go
@@ -90,8 +90,9 @@
 func (d *Delegate) Update(pool string, entries []membership.Member, servers []sequoialead.Server) map[string]bool {
 	reachable := make([]membership.Member, 0, len(entries))
 	undivided := len(servers) <= groups.MaxUndivided
+	likely := likelyLeaders(entries)
 	for _, e := range entries {
-		needed := undivided || e.Domain == d.opts.Domain
+		needed := likely[e.Name] && (undivided || e.Domain == d.opts.Domain)
 		self := e.Name == d.opts.Entry
 		switch {
 		case self && d.isLeaving():
@@ -111,6 +112,23 @@
 	return g.Servers(d.opts.Entry)
 }
 
+// likelyLeaders returns the names of the entries that lead groups as long as they can be
+// reached. Connections to all the others would cost each entry a part of its processor
+// time that grows with their number.
+func likelyLeaders(entries []membership.Member) map[string]bool {
+	byDomain := map[string][]membership.Member{}
+	for _, e := range entries {
+		byDomain[e.Domain] = append(byDomain[e.Domain], e)
+	}
+	likely := map[string]bool{}
+	for _, local := range byDomain {
+		for _, e := range membership.Strong(local) {
+			likely[e.Name] = true
+		}
+	}
+	return likely
+}
+
 // HandOver stops this entry from leading groups. Queued orders fail with
 // ReasonLeaving, so that the entries that they came from send them to the next
 // leader.
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -32,10 +32,12 @@
 	full         bool
 	handBacks    int
 	askedEntries []string
-	sentOrders   int
-	madeLocally  int
-	released     []protocol.Result
-	freed        []string
+	// connectedTo records the entries to which a connection is wanted, unless it is nil.
+	connectedTo map[string]bool
+	sentOrders  int
+	madeLocally int
+	released    []protocol.Result
+	freed       []string
 }
 
 func (s *fakeSystem) Conf(string) *proxyconfig.Pool {
@@ -73,8 +75,13 @@
 }
 
 func (s *fakeSystem) SetEntries([]membership.Member) {}
-func (s *fakeSystem) EnsureConnected(string) bool    { return s.siblingReachable }
-func (s *fakeSystem) Unavailable(string) bool        { return false }
+func (s *fakeSystem) EnsureConnected(name string) bool {
+	if s.connectedTo != nil {
+		s.connectedTo[name] = true
+	}
+	return s.siblingReachable
+}
+func (s *fakeSystem) Unavailable(string) bool { return false }
 func (s *fakeSystem) Order(_ context.Context, name string, o protocol.Order, _ func()) (protocol.OrderResult, bool) {
 	s.sentOrders++
 	s.askedEntries = append(s.askedEntries, name)
@@ -220,6 +227,38 @@
 // An entry that leaves hands its queued orders back and sends its own orders
 // to the other leaders. An order that a leader hands back goes to the next
 // leader.
+// A hundred entries that all connect to each other spend much of a small machine on
+// heartbeats. Those that are no leaders are connected to only if no leader is left.
+func TestConnectsToLikelyLeadersAlone(t *testing.T) {
+	c := qt.New(t)
+	s := &fakeSystem{siblingReachable: true, connectedTo: map[string]bool{}}
+	b := batch.New(batch.Options{Metrics: metrics.NewSet(), Maker: s, Pools: s, Log: klog.Logger{}, Now: time.Now})
+	d := delegate.New(delegate.Options{Entry: "e0", Domain: "a", Batcher: b, Siblings: s, Log: klog.Logger{}, Now: time.Now, OnLeaderLost: func() {}})
+	var entries, weak []membership.Member
+	strong := map[string]bool{}
+	for i := range 102 {
+		e := membership.Member{Name: fmt.Sprintf("e%d", i), Domain: string(rune('a' + i%6)), CPU: 0.144}
+		if i >= 84 {
+			e.CPU = 0.8
+			strong[e.Name] = true
+		} else {
+			weak = append(weak, e)
+		}
+		entries = append(entries, e)
+	}
+	var servers []sequoialead.Server
+	for i := range 36 {
+		servers = append(servers, sequoialead.Server{ID: fmt.Sprint(i), Domain: string(rune('a' + i%6))})
+	}
+	d.Update("encode", entries, servers)
+	c.Assert(len(s.connectedTo) <= 3+5, qt.IsTrue) // those of the own domain, and the leaders of the others
+	for name := range s.connectedTo {
+		c.Assert(strong[name], qt.IsTrue, qt.Commentf("%s", name))
+	}
+	d.Update("encode", weak, servers)
+	c.Assert(len(s.connectedTo) >= 13, qt.IsTrue) // the rest of the own domain
+}
+
 func TestLeavingLeaderHandsOver(t *testing.T) {
 	c := qt.New(t)
 	s := &fakeSystem{}
