watch: Read the store as soon as the records are too old to wait for a reader

Cause, from reading: an entry that waits for the next reader asked again after up to 0.6 s, so that its own read could come 0.6 s after the 1.25 intervals.

--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -72,10 +72,13 @@
 			f.sleep(f.nextInterval(entries)-f.watcher.opts.Now().Sub(started), nil)
 			continue
 		}
+		delay := retryBackoff.NextBackOff()
 		if err != nil {
 			f.readFailed(err)
+		} else {
+			delay = min(delay, f.untilOwnRead())
 		}
-		f.sleep(retryBackoff.NextBackOff(), recovered)
+		f.sleep(delay, recovered)
 	}
 	return nil
 }
@@ -93,6 +96,13 @@
 	return interval
 }
 
+// untilOwnRead returns the time until this entry reads the store itself if it finds no
+// reader, but at least retryMin.
+func (f *follower) untilOwnRead() time.Duration {
+	age, _ := f.lease.Age(f.watcher.opts.Now())
+	return max(f.ageLimit(ownReadAge)-age, retryMin)
+}
+
 // sleep returns after d, or once wakeup is closed.
 func (f *follower) sleep(d time.Duration, wakeup <-chan struct{}) {
 	if d <= 0 {
--- a/core/watch/outage_test.go
+++ b/core/watch/outage_test.go
@@ -84,7 +84,8 @@
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
 			age, _ := w.Lease().Age(time.Now())
-			c.Assert(age < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", age)) // below 4 s with time for another attempt
+			// 1.25 intervals of 1.5 s, and the shortest delay between two attempts.
+			c.Assert(age <= 1925*time.Millisecond, qt.IsTrue, qt.Commentf("%s", age))
 		}
 	})
 }
