http1, forward: End answers that go on without end

- interim (1xx) responses without end: each had a limit of its own, so that the request was held until its deadline (10 s in the test).
One limit covers all heads now.
- a response to another request whose chunked body does not end was discarded until the deadline. 64 KiB are discarded, then the connection ends.
- an event of a resumable stream without end was kept in memory whole (from reading: the old code was not run on it).
After 1 MiB the stream counts as broken.

Endless headers, status lines and trailers were bounded before; the tests stay.

--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -114,6 +114,38 @@
 func (b *fakeBody) Buffered() int { return 0 }
 func (b *fakeBody) Close() error  { return nil }
 
+// endlessBody is an answer that goes on until it is closed. If it is silent, no bytes
+// come.
+type endlessBody struct {
+	silent bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newEndlessBody(silent bool) *endlessBody {
+	return &endlessBody{silent: silent, closed: make(chan struct{})}
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	if b.silent {
+		<-b.closed
+	}
+	select {
+	case <-b.closed:
+		return 0, sequoialead.ErrLost.New("closed")
+	default:
+	}
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+func (b *endlessBody) Buffered() int { return 0 }
+func (b *endlessBody) Close() error {
+	b.once.Do(func() { close(b.closed) })
+	return nil
+}
+
 // Exchange ends an attempt with the next result of the script.
 func (w *fakePlatform) Exchange(ctx context.Context, attempt sequoialead.ProxyAttempt) (*sequoialead.Response, error) {
 	w.mu.Lock()
@@ -134,6 +166,12 @@
 		return nil, lost
 	case "shed":
 		r.Status, r.NotRun = http.StatusServiceUnavailable, true
+	case "shed-endless", "shed-silent":
+		r.Status, r.NotRun, r.Body = http.StatusServiceUnavailable, true, newEndlessBody(step == "shed-silent")
+	case "failed-endless":
+		r.Status, r.Body = http.StatusInternalServerError, newEndlessBody(false)
+	case "event-endless":
+		r.Body = newEndlessBody(false)
 	case "elsewhere":
 		r.Status, r.Misdirected = http.StatusMisdirectedRequest, true
 	case "gone":
@@ -269,6 +307,10 @@
 		{"unsafe: refused each time is reported as not run", unsafe, "shed shed shed", 3, 503, ""},
 		{"unsafe: refused, then lost is reported as possibly run", unsafe, "shed lost done", 2, 502, ""},
 		{"unsafe: no connection anywhere is reported as not run", unsafe, "unsent unsent unsent unsent", 3, 503, ""},
+		{"unsafe: refused with a body without end, then answered", unsafe, "shed-endless done", 2, 200, "whole"},
+		{"unsafe: refused with a body that stops, then answered", unsafe, "shed-silent done", 2, 200, "whole"},
+		{"safe: failed with a body without end, then answered", safe, "failed-endless done", 2, 200, "whole"},
+		{"resumable: an event without end is not held in memory", resumable, "event-endless events", 2, 200, allEvents},
 		{"stream: passed on", stream, "events", 1, 200, allEvents},
 		{"stream: broken off is not retried", stream, "broken events", 1, 0, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\nda"},
 		{"stream: lost before the first event", stream, "lost events", 1, 502, ""},
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -22,6 +22,13 @@
 	maxBufferedBytes = 256 << 10
 	// copyBufferBytes is the size of the buffer that answers are copied through.
 	copyBufferBytes = 16 << 10
+	// maxEventBytes is the maximum size of one event of a resumable stream. Only whole
+	// events are passed on, so an event without end would be held in memory.
+	maxEventBytes = 1 << 20
+	// maxDiscardBytes and discardTimeout bound the rest of an answer that is read only to
+	// keep its connection.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 50 * time.Millisecond
 	// minTimeLeft is the minimum time before the deadline for an attempt to be useful.
 	minTimeLeft = 5 * time.Millisecond
 )
@@ -125,7 +132,7 @@
 
 // handleRefusal handles an answer which states that the request was not run.
 func (f *Forwarder) handleRefusal(j *job, place *pool.Place, r *sequoialead.Response) sequoialead.Reason {
-	_, _ = io.Copy(io.Discard, r.Body) // keeps the connection usable
+	discard(r.Body)
 	f.releasePlace(j, place, pool.EndRefused, r.Load)
 	j.trail.Add("send-refused", "server", place.Server.ID, "status", r.Status, "load", r.Load)
 	if r.Status == http.StatusConflict {
@@ -174,7 +181,7 @@
 		return f.stream(ctx, j, place, r, sink)
 	}
 	if r.Status >= http.StatusInternalServerError && onFailure == actionRetry && j.attempts < j.route.MaxAttempts {
-		_, _ = io.Copy(io.Discard, r.Body) // keeps the connection usable
+		discard(r.Body)
 		j.trail.Add("answer-failed", "server", place.Server.ID, "status", r.Status)
 		return pool.EndFailed, actionRetry, sequoialead.ReasonBackend
 	}
@@ -207,6 +214,16 @@
 	return end, actionDone, ""
 }
 
+// discard reads the rest of an answer, so that its connection can be used again. If
+// the answer does not end soon, its connection is closed instead.
+func discard(body sequoialead.BodyReader) {
+	timer := time.AfterFunc(discardTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	if _, err := io.CopyN(io.Discard, body, maxDiscardBytes); err == nil {
+		_ = body.Close()
+	}
+}
+
 // copyRest copies the part of a large answer that was not buffered.
 func copyRest(r *sequoialead.Response, sink Sink) error {
 	buf := make([]byte, copyBufferBytes)
@@ -266,6 +283,9 @@
 			if id := splitter.LastID(); id != "" {
 				j.lastEventID = id
 			}
+			if err == nil && splitter.Pending() > maxEventBytes {
+				err = sequoialead.ErrProtocol.New("an event of more than %d bytes", maxEventBytes)
+			}
 		}
 		if len(data) > 0 {
 			f.recordFirstByte(j, place)
--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -40,6 +40,9 @@
 	return rest
 }
 
+// Pending returns the number of bytes of the incomplete event.
+func (s *Splitter) Pending() int { return len(s.partial) }
+
 // LastID returns the ID of the latest complete event that has one, or an empty
 // string.
 func (s *Splitter) LastID() string { return s.lastID }
--- a/io/http1/do.go
+++ b/io/http1/do.go
@@ -148,7 +148,10 @@
 			if raw.ContentLength < 0 && len(raw.TransferEncoding) == 0 || raw.Close {
 				return nil, errors.New("received a response to another request, after which the connection is closed")
 			}
-			if _, err := io.Copy(io.Discard, raw.Body); err != nil {
+			switch _, err := io.CopyN(io.Discard, raw.Body, maxDiscardBytes); {
+			case err == nil:
+				return nil, errors.New("received a response to another request that is too long to discard")
+			case !errors.Is(err, io.EOF):
 				return nil, err
 			}
 			continue
@@ -165,8 +168,9 @@
 
 // readHead reads a response's head, and discards interim (1xx) responses.
 func (k *conn) readHead(method string) (*http.Response, error) {
+	k.headLimit.remaining = maxHeadBytes
 	for {
-		k.headLimit.enabled, k.headLimit.remaining = true, maxHeadBytes
+		k.headLimit.enabled = true
 		raw, err := http.ReadResponse(k.r, &http.Request{Method: method})
 		k.headLimit.enabled = false
 		if err != nil {
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -38,8 +38,12 @@
 	// keepMargin is subtracted from the peer's Keep-Alive timeout, so that no
 	// request is sent while the peer is closing the connection.
 	keepMargin = 500 * time.Millisecond
-	// maxHeadBytes is the maximum size of a response's status line and headers.
+	// maxHeadBytes is the maximum size of a response's status line and headers,
+	// interim responses included.
 	maxHeadBytes = 64 << 10
+	// maxDiscardBytes is the maximum size of a response to another request that is
+	// discarded. A larger one ends the connection.
+	maxDiscardBytes = 64 << 10
 	// maxMismatched is the number of responses to other requests at which a
 	// request fails. If it gets fewer, they are discarded.
 	maxMismatched = 3
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -179,6 +179,44 @@
 	}
 }
 
+// Bytes that are no answer may come until the client closes the connection. They must
+// not hold the request until its deadline.
+func TestBytesWithoutEnd(t *testing.T) {
+	tests := []struct {
+		desc  string
+		first string
+		again string
+	}{
+		{"in a head", "HTTP/1.1 200 OK\r\n", "X-More: " + strings.Repeat("x", 100) + "\r\n"},
+		{"in a header", "HTTP/1.1 200 OK\r\nX-More: ", strings.Repeat("x", 100)},
+		{"in a status line", "HTTP/1.1 ", strings.Repeat("2", 100)},
+		{"in interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"in the body of a response to another request", "HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nwrong\r\n"},
+		{"in the trailer of a response to another request", "HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: xxxx\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			p := newFakeServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				write(conn, test.first)
+				for {
+					if _, err := io.WriteString(conn, test.again); err != nil {
+						return
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), roundTripTimeout)
+			defer cancel()
+			_, err := newClient(t).Do(ctx, p.addr, newRequest("body")) //nolint:bodyclose // there is no response
+			c.Assert(errorx.IsOfType(err, sequoialead.ErrLost), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(ctx.Err(), qt.IsNil)
+		})
+	}
+}
+
 // roundTripTimeout bounds a request, so that a hang fails the test that
 // caused it.
 const roundTripTimeout = 10 * time.Second
