--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -124,7 +125,11 @@
 	stale := response.Complete && response.Age > age
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch now := r.opts.Now(); {
+	now := r.opts.Now()
+	expired := func(_ string, until time.Time) bool { return now.After(until) }
+	maps.DeleteFunc(r.skipUntil, expired)
+	maps.DeleteFunc(r.staleUntil, expired)
+	switch {
 	case !ok:
 		r.skipUntil[name] = now.Add(skipPeriod)
 	case stale:
@@ -135,8 +140,8 @@
 
 // rank returns up to count entries to ask for a topic, in order of preference.
 // Strong entries come first. Among them the order comes from rendezvous hashing: all
-// entries get the same one, apart from the entries that they skip. Entries with old records are skipped unless
-// withStale is set.
+// entries get the same one, apart from the entries that they skip. Entries with old
+// records are skipped unless withStale is set.
 func (r *Relay) rank(topic sequoialead.Topic, entries []membership.Member, count int, withStale bool) []string {
 	now := r.opts.Now()
 	var candidates []membership.Member
--- a/core/storegate/storegate.go
+++ b/core/storegate/storegate.go
@@ -40,9 +40,6 @@
 	return &Gate{opts: opts, delays: delays}
 }
 
-// Failing reports whether the last call failed.
-func (g *Gate) Failing() bool { return g.failing }
-
 // Allow reports whether a call may be made now. While the store fails, an allowed call
 // postpones the next one. ahead is the number of entries that read the records before
 // this one does.
