watch: Wake for the next allowed attempt at the store

Cause: a follower whose attempt came before the next one was due waited for its own backoff once more.

--- a/core/storegate/storegate.go
+++ b/core/storegate/storegate.go
@@ -54,6 +54,14 @@
 	return true
 }
 
+// Wait returns the time until the next call may be made.
+func (g *Gate) Wait(now time.Time) time.Duration {
+	if !g.failing {
+		return 0
+	}
+	return max(g.nextAt.Sub(now), 0)
+}
+
 // Failed records a call that failed.
 func (g *Gate) Failed(now time.Time, ahead int) {
 	if !g.failing {
--- a/core/storegate/storegate_test.go
+++ b/core/storegate/storegate_test.go
@@ -43,8 +43,12 @@
 			// the longest one allow a few attempts more.
 			shortest := min(options.Max/2*time.Duration(1+tt.ahead), options.Limit)
 			c.Assert(attempts <= int(outage/shortest)+6, qt.IsTrue, qt.Commentf("%d attempts", attempts))
+			wait := g.Wait(last)
+			c.Assert(wait > 0, qt.IsTrue)
+			c.Assert(g.Allow(last.Add(wait), tt.ahead), qt.IsTrue)
 			c.Assert(g.Succeeded(), qt.IsTrue)
 			c.Assert(g.Succeeded(), qt.IsFalse)
+			c.Assert(g.Wait(last), qt.Equals, time.Duration(0))
 			c.Assert(g.Allow(start, tt.ahead), qt.IsTrue)
 		})
 	}
--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -72,13 +72,13 @@
 			f.sleep(f.nextInterval(entries)-f.watcher.opts.Now().Sub(started), nil)
 			continue
 		}
-		delay := retryBackoff.NextBackOff()
+		nextTry := f.watcher.storeWait()
 		if err != nil {
 			f.readFailed(err)
 		} else {
-			delay = min(delay, f.untilOwnRead())
+			nextTry = f.untilOwnRead()
 		}
-		f.sleep(delay, recovered)
+		f.sleep(min(retryBackoff.NextBackOff(), max(nextTry, retryMin)), recovered)
 	}
 	return nil
 }
@@ -97,10 +97,10 @@
 }
 
 // untilOwnRead returns the time until this entry reads the store itself if it finds no
-// reader, but at least retryMin.
+// reader.
 func (f *follower) untilOwnRead() time.Duration {
 	age, _ := f.lease.Age(f.watcher.opts.Now())
-	return max(f.ageLimit(ownReadAge)-age, retryMin)
+	return f.ageLimit(ownReadAge) - age
 }
 
 // sleep returns after d, or once wakeup is closed.
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -191,6 +191,13 @@
 	return w.gate.Allow(w.opts.Now(), rank)
 }
 
+// storeWait returns the time until the store may be read again.
+func (w *Watcher) storeWait() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gate.Wait(w.opts.Now())
+}
+
 // recordStoreRead records whether a read of the store succeeded.
 func (w *Watcher) recordStoreRead(ok bool, rank int) {
 	w.mu.Lock()
