--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -97,55 +97,6 @@
 	return list
 }
 
-// fakeBody is an answer that arrives in the given parts and then ends with err.
-type fakeBody struct {
-	parts []string
-	err   error
-}
-
-func (b *fakeBody) Read(p []byte) (int, error) {
-	if len(b.parts) == 0 {
-		return 0, b.err
-	}
-	n := copy(p, b.parts[0])
-	b.parts = b.parts[1:]
-	return n, nil
-}
-func (b *fakeBody) Buffered() int { return 0 }
-func (b *fakeBody) Close() error  { return nil }
-
-// endlessBody is an answer that goes on until it is closed. If it is silent, no bytes
-// come.
-type endlessBody struct {
-	silent bool
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newEndlessBody(silent bool) *endlessBody {
-	return &endlessBody{silent: silent, closed: make(chan struct{})}
-}
-
-func (b *endlessBody) Read(p []byte) (int, error) {
-	if b.silent {
-		<-b.closed
-	}
-	select {
-	case <-b.closed:
-		return 0, sequoialead.ErrLost.New("closed")
-	default:
-	}
-	for i := range p {
-		p[i] = 'x'
-	}
-	return len(p), nil
-}
-func (b *endlessBody) Buffered() int { return 0 }
-func (b *endlessBody) Close() error {
-	b.once.Do(func() { close(b.closed) })
-	return nil
-}
-
 // Exchange ends an attempt with the next result of the script.
 func (w *fakePlatform) Exchange(ctx context.Context, attempt sequoialead.ProxyAttempt) (*sequoialead.Response, error) {
 	w.mu.Lock()
