--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -210,7 +210,7 @@
 			})
 			ctx, cancel := context.WithTimeout(context.Background(), roundTripTimeout)
 			defer cancel()
-			_, err := newClient(t).Do(ctx, p.addr, newRequest("body")) //nolint:bodyclose // there is no response
+			_, err := newClient(t).Do(ctx, p.addr, newRequest("body"))
 			c.Assert(errorx.IsOfType(err, sequoialead.ErrLost), qt.IsTrue, qt.Commentf("%v", err))
 			c.Assert(ctx.Err(), qt.IsNil)
 		})
