forward: Log what a broken-off request had in common with others

A request that lost its backend server logged neither its prompt's parts nor whether the server had begun to answer, so nothing told a request that ended a server from those that were running there. send-lost and stream-cut now carry the server's incarnation, the parts, and the bytes received.

--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -152,7 +152,7 @@
 		f.releasePlace(j, place, pool.EndAbandoned, nil)
 		return actionFail, sequoialead.ReasonCancelled
 	}
-	j.trail.Add("send-lost", "server", place.Server.ID, "unsent", unsent, "try", j.attempts, "err", err)
+	j.trail.Add("send-lost", "server", place.Server.ID, "started", place.Server.StartedAt, "unsent", unsent, "try", j.attempts, "parts", j.request.Prompt.PartIDs(), "err", err)
 	if unsent {
 		j.attempts-- // nothing reached the server
 		f.releasePlace(j, place, pool.EndUnreachable, nil)
@@ -269,6 +269,7 @@
 	buf := make([]byte, copyBufferBytes)
 	var lastRead time.Time
 	longestGap := time.Duration(0)
+	received := 0
 	defer func() { f.metrics.eventGap(longestGap) }()
 	for {
 		n, err := r.Body.Read(buf)
@@ -278,6 +279,7 @@
 		}
 		lastRead = now
 		data := buf[:n]
+		received += n
 		if j.route.Resumable {
 			data = splitter.Feed(data)
 			if id := splitter.LastID(); id != "" {
@@ -305,7 +307,8 @@
 		case err != nil && ctx.Err() != nil:
 			return pool.EndAbandoned, actionFail, sequoialead.ReasonCancelled
 		case err != nil:
-			j.trail.Add("stream-cut", "server", place.Server.ID, "after", j.lastEventID, "resumable", j.route.Resumable, "err", err)
+			j.trail.Add("stream-cut", "server", place.Server.ID, "started", place.Server.StartedAt, "bytes", received, "after", j.lastEventID, "resumable", j.route.Resumable,
+				"parts", j.request.Prompt.PartIDs(), "err", err)
 			if j.route.Resumable {
 				return pool.EndFailed, actionRetry, sequoialead.ReasonBackend
 			}
--- a/proxy.go
+++ b/proxy.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -27,6 +29,15 @@
 	Parts []PromptPart
 }
 
+// PartIDs returns the IDs of the parts, separated by commas, as they are logged.
+func (p Prompt) PartIDs() string {
+	ids := make([]string, len(p.Parts))
+	for i, part := range p.Parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
+
 // ProxyRequest is a request that is passed through to a backend server without
 // parsing its body. Each attempt of the caller is a request of its own.
 type ProxyRequest struct {
