--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -207,9 +207,12 @@
 func (c *recordingSink) Write(p []byte) error                    { c.text.Write(p); return nil }
 func (c *recordingSink) Flush() error                            { return nil }
 
-func (w *fakePlatform) newForwarder(t *testing.T) *forward.Forwarder {
+func (w *fakePlatform) newForwarder(t *testing.T) *forward.Forwarder { return w.newForwarderTo(t, w) }
+
+// newForwarderTo returns a forwarder that sends requests through the given exchanger.
+func (w *fakePlatform) newForwarderTo(t *testing.T, exchanger sequoialead.Exchanger) *forward.Forwarder {
 	f := forward.New(forward.Options{
-		Knowledge: w, Exchanger: w, Maker: w, Siblings: noSiblings{}, Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: func() time.Time { return w.now },
+		Knowledge: w, Exchanger: exchanger, Maker: w, Siblings: noSiblings{}, Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: func() time.Time { return w.now },
 		Random: rand.New(rand.NewPCG(1, 1)), Entry: "e", Domain: "a",
 		Limits: forward.Limits{Revoke: 5 * time.Second, Limits: pool.Limits{
 			Retries: retries.Options{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
