quarantine, forward, watch: Hold back prompts that crash backend servers

Cause: nothing remembered what a server was doing when it ended. A request that crashes its server looked like one whose server was lost, and the next one with the same part of a prompt went to the next server. Class: a request that is poison to whoever works on it, without a record of who died of what.

Change: core/quarantine. A request whose server closed the connection before the first byte of the answer is a suspect, with all parts of its prompt but the last. Parts in three crashes at different moments and two servers, in no answer since, make a verdict; requests with all parts of it are refused at once as not run, with the time left.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -17,6 +17,7 @@
 	"sequoialead/core/forward"
 	"sequoialead/core/membership"
 	"sequoialead/core/protocol"
+	"sequoialead/core/quarantine"
 	"sequoialead/core/relay"
 	"sequoialead/core/services"
 	"sequoialead/core/watch"
@@ -111,18 +112,21 @@
 		Name: s.name, Log: log, OnChange: changed,
 		Handler: &siblingHandler{delegate: func() *delegate.Delegate { return forwarder.Delegate() }, watcher: func() *watch.Watcher { return watcher }},
 	})
+	quarantined := quarantine.New(quarantine.Options{Entry: s.name, Log: log, Metrics: set, Now: bootclock.Now, Wall: time.Now})
 	self := membership.Member{Name: s.name, Domain: s.domain, Addr: s.advertisedAddr(), CPU: s.cpu}
 	watcher = watch.New(watch.Options{
 		Self:           self,
 		Store:          platform.NewStore(client, s.store),
 		Relay:          relay.New(relay.Options{Self: self, Peers: siblings, Now: bootclock.Now}),
 		Decoder:        platform.Decoder{},
+		Evidence:       quarantined,
 		Log:            log,
 		Metrics:        set,
 		Now:            bootclock.Now,
 		Apply:          s.apply,
 		Revoke:         s.revoke,
 		Drain:          s.drain,
+		Spread:         s.spread,
 		AssumedEntries: s.entries,
 		OnChange:       changed,
 	})
@@ -133,6 +137,7 @@
 		Exchanger:   backends,
 		Maker:       backends,
 		Siblings:    siblings,
+		Quarantine:  quarantined,
 		Log:         log,
 		Metrics:     set,
 		Now:         bootclock.Now,
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -36,6 +36,7 @@
 	revoke  time.Duration
 	drain   time.Duration
 	apply   time.Duration
+	spread  time.Duration
 	ratio   float64
 	extra   float64
 	window  time.Duration
@@ -53,6 +54,7 @@
 	defaultGatewayRevoke  = 5 * time.Second
 	defaultGatewayDrain   = 2 * time.Second
 	defaultGatewayApply   = 2 * time.Second
+	defaultGatewaySpread  = 3 * time.Second
 	defaultRetryRatio     = 0.2
 	defaultRetryExtra     = 20
 	defaultRetryWindow    = 10 * time.Second
@@ -75,6 +77,7 @@
 	flags.DurationVar(&s.revoke, "revoke", defaultGatewayRevoke, "the time within which a revoked key is refused, such as 5s")
 	flags.DurationVar(&s.apply, "apply", defaultGatewayApply, "the time within which a new configuration is in force, such as 2s")
 	flags.DurationVar(&s.drain, "drain", defaultGatewayDrain, "the time within which a backend server that is leaving gets no more requests, such as 2s")
+	flags.DurationVar(&s.spread, "spread", defaultGatewaySpread, "the time within which the entries know of prompts that crash backend servers, such as 3s")
 	flags.Float64Var(&s.ratio, "ratio", defaultRetryRatio, "the number of retries allowed per request, over all entries, such as 0.2")
 	flags.Float64Var(&s.extra, "extra", defaultRetryExtra, "the number of retries allowed in each window in addition to ratio, over all entries, such as 20")
 	flags.DurationVar(&s.window, "window", defaultRetryWindow, "the sliding time window in which requests and retries are counted, such as 10s")
--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"slices"
 	"testing"
 	"time"
@@ -28,7 +27,12 @@
 	response, err := e.fakePlatform.Exchange(ctx, attempt)
 	if slices.ContainsFunc(attempt.Request.Prompt.Parts, func(p sequoialead.PromptPart) bool { return p.ID == e.deadly }) {
 		e.crashed = append(e.crashed, e.current)
-		response.Body = &fakeBody{err: sequoialead.ErrLost.Wrap(io.ErrUnexpectedEOF, "cut")}
+		for i := range e.servers {
+			if e.servers[i].ID == attempt.Server.ID {
+				e.servers[i].StartedAt = e.now // it starts again at once
+			}
+		}
+		response.Body = &fakeBody{err: sequoialead.ErrBroken.New("cut")}
 	}
 	return response, err
 }
@@ -53,6 +57,7 @@
 		w.now = w.now.Add(time.Second / perSecond)
 		w.lease.Renew(w.now)
 		engines.current = n
+		f.Refresh()
 		p := newProxyRequest(w)
 		p.ID = fmt.Sprintf("r%d", n)
 		p.Prompt = sequoialead.Prompt{Model: "m", Input: 60, Parts: []sequoialead.PromptPart{{ID: 1, Tokens: 20}, {ID: 2, Tokens: 20}, {ID: uint64(1000 + n), Tokens: 10}}}
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -23,6 +23,7 @@
 	"sequoialead/core/membership"
 	"sequoialead/core/pool"
 	"sequoialead/core/proxyconfig"
+	"sequoialead/core/quarantine"
 	"sequoialead/core/serverset"
 )
 
@@ -48,7 +49,9 @@
 	Exchanger sequoialead.Exchanger
 	Maker     sequoialead.Maker
 	Siblings  delegate.Siblings
-	Log       klog.Logger
+	// Quarantine knows the prompts that crash backend servers.
+	Quarantine *quarantine.Quarantine
+	Log        klog.Logger
 	// Metrics is the set in which counters and histograms are registered.
 	Metrics *metrics.Set
 	// Now is a clock that also runs while the machine is suspended.
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -24,6 +24,7 @@
 	"sequoialead/core/pool"
 	"sequoialead/core/protocol"
 	"sequoialead/core/proxyconfig"
+	"sequoialead/core/quarantine"
 	"sequoialead/core/retries"
 	"sequoialead/core/serverset"
 )
@@ -212,7 +213,7 @@
 // newForwarderTo returns a forwarder that sends requests through the given exchanger.
 func (w *fakePlatform) newForwarderTo(t *testing.T, exchanger sequoialead.Exchanger) *forward.Forwarder {
 	f := forward.New(forward.Options{
-		Knowledge: w, Exchanger: exchanger, Maker: w, Siblings: noSiblings{}, Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: func() time.Time { return w.now },
+		Knowledge: w, Exchanger: exchanger, Maker: w, Siblings: noSiblings{}, Quarantine: newQuarantine(func() time.Time { return w.now }), Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: func() time.Time { return w.now },
 		Random: rand.New(rand.NewPCG(1, 1)), Entry: "e", Domain: "a",
 		Limits: forward.Limits{Revoke: 5 * time.Second, Limits: pool.Limits{
 			Retries: retries.Options{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
@@ -225,6 +226,10 @@
 	return f
 }
 
+func newQuarantine(now func() time.Time) *quarantine.Quarantine {
+	return quarantine.New(quarantine.Options{Entry: "e", Metrics: metrics.NewSet(), Now: now, Wall: now})
+}
+
 func newProxyRequest(w *fakePlatform) *sequoialead.ProxyRequest {
 	return &sequoialead.ProxyRequest{ID: "r1", Method: "POST", Target: "/x", Host: "h", ArrivedAt: w.now, CallerTimeout: 10 * time.Second, Key: "key"}
 }
--- a/core/forward/replay_test.go
+++ b/core/forward/replay_test.go
@@ -163,7 +163,7 @@
 		m.config.Routes[load[i].route.Name] = []*proxyconfig.Route{&load[i].route}
 	}
 	f := forward.New(forward.Options{
-		Knowledge: m, Exchanger: m, Maker: m, Siblings: noSiblings{}, Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: time.Now,
+		Knowledge: m, Exchanger: m, Maker: m, Siblings: noSiblings{}, Quarantine: newQuarantine(time.Now), Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: time.Now,
 		Random: rand.New(rand.NewPCG(seed, 1)), Entry: "e", Domain: "a",
 		Limits: forward.Limits{Limits: pool.Limits{Retries: retries.Options{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, ColdFactor: 1}, Revoke: time.Minute},
 	})
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -55,6 +55,9 @@
 	defer cancel()
 	defer context.AfterFunc(f.unsentCtx, cancel)()
 	for offers := 1; ; offers++ {
+		if held := f.refuseQuarantined(j); held != nil {
+			return *held
+		}
 		if j.inputs == nil {
 			reason := f.runStages(unsentCtx, j)
 			if reason == sequoialead.ReasonGone && unsentCtx.Err() == nil && f.refuseLate(j) == nil {
@@ -159,6 +162,7 @@
 		return actionRetry, sequoialead.ReasonBackend
 	}
 	f.releasePlace(j, place, pool.EndFailed, nil)
+	f.recordCrash(j, place, false, err)
 	if j.route.Repeatable() {
 		return actionRetry, sequoialead.ReasonBackend
 	}
@@ -192,9 +196,13 @@
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes))
 	if err != nil {
 		j.trail.Add("answer-cut", "server", place.Server.ID, "bytes", len(body), "err", err)
+		if len(body) == 0 {
+			f.recordCrash(j, place, true, err)
+		}
 		return pool.EndFailed, onFailure, sequoialead.ReasonBackend
 	}
 	f.recordFirstByte(j, place)
+	f.recordAnswer(j, f.opts.Now())
 	j.headSent = true
 	if len(body) < maxBufferedBytes {
 		sink.Head(r.Status, r.Header, int64(len(body)))
@@ -267,7 +275,8 @@
 func (f *Forwarder) stream(ctx context.Context, j *job, place *pool.Place, r *sequoialead.Response, sink Sink) (pool.End, action, sequoialead.Reason) {
 	splitter := sse.New()
 	buf := make([]byte, copyBufferBytes)
-	var lastRead time.Time
+	var lastRead, firstRead time.Time
+	sound := false
 	longestGap := time.Duration(0)
 	received := 0
 	defer func() { f.metrics.eventGap(longestGap) }()
@@ -279,7 +288,14 @@
 		}
 		lastRead = now
 		data := buf[:n]
+		if n > 0 && received == 0 {
+			firstRead = now
+		}
 		received += n
+		if !sound && received > 0 && (errors.Is(err, io.EOF) || now.Sub(firstRead) > soundAfter) {
+			sound = true
+			f.recordAnswer(j, firstRead)
+		}
 		if j.route.Resumable {
 			data = splitter.Feed(data)
 			if id := splitter.LastID(); id != "" {
@@ -309,6 +325,9 @@
 		case err != nil:
 			j.trail.Add("stream-cut", "server", place.Server.ID, "started", place.Server.StartedAt, "bytes", received, "after", j.lastEventID, "resumable", j.route.Resumable,
 				"parts", j.request.Prompt.PartIDs(), "err", err)
+			if received == 0 {
+				f.recordCrash(j, place, true, err)
+			}
 			if j.route.Resumable {
 				return pool.EndFailed, actionRetry, sequoialead.ReasonBackend
 			}
--- a/core/forward/serve.go
+++ b/core/forward/serve.go
@@ -12,6 +12,9 @@
 func (f *Forwarder) Serve(ctx context.Context, p *sequoialead.ProxyRequest, sink Sink) Result {
 	tr := f.trails.New(p.ID, p.ArrivedAt)
 	j, refused := f.admit(ctx, p, tr)
+	if refused == nil {
+		refused = f.refuseQuarantined(j)
+	}
 	if refused == nil {
 		refused = f.refuseLate(j)
 	}
--- /dev/null
+++ b/core/quarantine/evidence.go
@@ -0,0 +1,327 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"sequoialead"
+)
+
+const (
+	// maxCrashes bounds the number of crashes in memory, maxPrompts the number of suspects
+	// that an entry reports for one of them, and maxParts that of a suspect's parts.
+	maxCrashes = 256
+	maxPrompts = 8
+	maxParts   = 32
+)
+
+// crashID names a process of a backend server that has ended.
+type crashID struct {
+	server string
+	// startedAt is the start of the process in Unix milliseconds.
+	startedAt int64
+}
+
+// crash is the end of one server process.
+type crash struct {
+	// at is when it happened, by this entry's clock and as far as the times of day of the
+	// entries agree. happenedAt is the time of day at the entry that reported it first.
+	at         time.Time
+	happenedAt time.Time
+	// reports holds the suspects by the entry that reported them.
+	reports map[string]*suspects
+}
+
+// suspects are the parts of requests whose answers had not begun to arrive.
+type suspects struct {
+	// begun holds those with the head of an answer, waiting those without.
+	begun   [][]uint64
+	waiting [][]uint64
+}
+
+// prompts returns the suspects of a crash: those that the server had begun to answer, or
+// all others if there is none.
+func (c *crash) prompts() [][]uint64 {
+	var begun, waiting [][]uint64
+	for _, r := range c.reports {
+		begun = append(begun, r.begun...)
+		waiting = append(waiting, r.waiting...)
+	}
+	if len(begun) > 0 {
+		return begun
+	}
+	return waiting
+}
+
+// evidence holds the crashes that are known and the parts that were answered since.
+type evidence struct {
+	// self is the name of this entry.
+	self    string
+	crashes map[crashID]*crash
+	// answered maps parts to the time of the first byte of the newest answer.
+	answered map[uint64]time.Time
+	// reported holds the parts of this entry's own suspects.
+	reported map[uint64]bool
+	// lastReport is when this entry last reported a suspect.
+	lastReport time.Time
+}
+
+// shared returns the IDs of the parts that other requests may have too: all but the last.
+func shared(parts []sequoialead.PromptPart) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	parts = parts[:min(len(parts)-1, maxParts)]
+	ids := make([]uint64, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
+// format returns the IDs as they are logged.
+func format(ids []uint64) string {
+	texts := make([]string, len(ids))
+	for i, id := range ids {
+		texts[i] = strconv.FormatUint(id, 16)
+	}
+	return strings.Join(texts, ",")
+}
+
+// add adds a suspect. It reports false if it was known, or too many are.
+func (e *evidence) add(entry string, id crashID, prompt []uint64, begun bool, at, wall time.Time) bool {
+	c := e.crash(id, at, wall)
+	if c == nil {
+		return false
+	}
+	r := c.reports[entry]
+	if r == nil {
+		r = &suspects{}
+		c.reports[entry] = r
+	}
+	list := &r.waiting
+	if begun {
+		list = &r.begun
+	}
+	if len(*list) >= maxPrompts || slices.ContainsFunc(*list, func(p []uint64) bool { return slices.Equal(p, prompt) }) {
+		return false
+	}
+	*list = append(*list, prompt)
+	if entry == e.self {
+		e.lastReport = at
+		for _, id := range prompt {
+			e.reported[id] = true
+		}
+	}
+	return true
+}
+
+// crash returns a crash, which it adds if necessary; nil if there are too many.
+func (e *evidence) crash(id crashID, at, wall time.Time) *crash {
+	c := e.crashes[id]
+	if c == nil && len(e.crashes) < maxCrashes {
+		c = &crash{at: at, happenedAt: wall, reports: map[string]*suspects{}}
+		e.crashes[id] = c
+	}
+	return c
+}
+
+// recordAnswer records an answer. It reports whether other entries should know that a part
+// which this entry has reported was answered since.
+func (e *evidence) recordAnswer(prompt []uint64, firstByteAt, now time.Time) (withdrawn bool) {
+	if len(e.answered) > maxAnswered {
+		for id, at := range e.answered {
+			if now.Sub(at) > evidenceAge {
+				delete(e.answered, id)
+			}
+		}
+	}
+	for _, id := range prompt {
+		previous := e.answered[id]
+		if !firstByteAt.After(previous) {
+			continue
+		}
+		e.answered[id] = firstByteAt
+		withdrawn = withdrawn || previous.Before(e.lastReport) && e.reported[id] && e.withdraws(id, previous, firstByteAt)
+	}
+	return withdrawn
+}
+
+// withdraws reports whether an answer clears a part of which this entry has reported a
+// crash since the previous answer, and which is a suspect of other crashes too.
+func (e *evidence) withdraws(id uint64, previous, answer time.Time) bool {
+	own, crashes := false, 0
+	for _, c := range e.crashes {
+		if !contain(c.prompts(), id) {
+			continue
+		}
+		crashes++
+		r := c.reports[e.self]
+		own = own || r != nil && c.at.Before(answer) && !c.at.Before(previous) && contain(slices.Concat(r.begun, r.waiting), id)
+	}
+	return own && crashes > 1
+}
+
+func contain(prompts [][]uint64, id uint64) bool {
+	return slices.ContainsFunc(prompts, func(p []uint64) bool { return slices.Contains(p, id) })
+}
+
+// prune removes the crashes that no longer count.
+func (e *evidence) prune(now time.Time) {
+	pruned := false
+	for id, c := range e.crashes {
+		if now.Sub(c.at) > evidenceAge {
+			delete(e.crashes, id)
+			pruned = true
+		}
+	}
+	if !pruned {
+		return
+	}
+	clear(e.reported)
+	for _, c := range e.crashes {
+		if r := c.reports[e.self]; r != nil {
+			for _, id := range slices.Concat(slices.Concat(r.begun, r.waiting)...) {
+				e.reported[id] = true
+			}
+		}
+	}
+}
+
+// unexplained returns the crashes that no verdict explains. A verdict is prolonged by
+// each crash that it explains.
+func (e *evidence) unexplained(verdicts []*verdict) map[crashID]bool {
+	left := map[crashID]bool{}
+	for id, c := range e.crashes {
+		left[id] = true
+		for _, v := range verdicts {
+			if c.has(v) {
+				left[id] = false
+				if until := c.at.Add(hold); until.After(v.until) {
+					v.until = until
+				}
+			}
+		}
+	}
+	return left
+}
+
+// has reports whether one of the crash's suspects has all parts of a verdict.
+func (c *crash) has(v *verdict) bool {
+	return slices.ContainsFunc(c.prompts(), func(p []uint64) bool {
+		return !slices.ContainsFunc(v.parts, func(id uint64) bool { return !slices.Contains(p, id) })
+	})
+}
+
+// explain returns the verdict that explains the most crashes, among them an unexplained
+// one; nil if there is none. A part of an earlier verdict needs only one unexplained
+// crash: it was there without some of the other parts.
+func (e *evidence) explain(unexplained map[crashID]bool, verdicts []*verdict) *verdict {
+	var best []crashID
+	bestPart := uint64(0)
+	for part, crashes := range e.byPart() {
+		if len(crashes) < minCrashes || len(crashes) < len(best) || len(crashes) == len(best) && part > bestPart {
+			continue
+		}
+		fresh := slices.DeleteFunc(slices.Clone(crashes), func(id crashID) bool { return !unexplained[id] })
+		if len(fresh) == 0 {
+			continue
+		}
+		if slices.ContainsFunc(verdicts, func(v *verdict) bool { return slices.Contains(v.parts, part) }) {
+			fresh = crashes
+		}
+		if e.enough(fresh) {
+			best, bestPart = crashes, part
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return &verdict{parts: e.common(bestPart, best)}
+}
+
+// byPart returns for each part of a suspect the crashes after which it was not answered,
+// in the order in which they happened.
+func (e *evidence) byPart() map[uint64][]crashID {
+	ids := slices.SortedFunc(maps.Keys(e.crashes), func(a, b crashID) int {
+		return cmp.Or(e.crashes[a].happenedAt.Compare(e.crashes[b].happenedAt), cmp.Compare(a.server, b.server), cmp.Compare(a.startedAt, b.startedAt))
+	})
+	index := map[uint64][]crashID{}
+	for _, id := range ids {
+		c := e.crashes[id]
+		for _, prompt := range c.prompts() {
+			for _, part := range prompt {
+				list := index[part]
+				if (len(list) == 0 || list[len(list)-1] != id) && !e.answered[part].After(c.at) {
+					index[part] = append(list, id)
+				}
+			}
+		}
+	}
+	return index
+}
+
+// enough reports whether the crashes, in the order in which they happened, are enough for
+// a verdict.
+func (e *evidence) enough(list []crashID) bool {
+	servers := map[string]bool{}
+	n := 0
+	var last time.Time
+	for _, id := range list {
+		servers[id.server] = true
+		if at := e.crashes[id].happenedAt; n == 0 || at.Sub(last) >= minSpacing {
+			n, last = n+1, at
+		}
+	}
+	return n >= minCrashes && len(servers) >= minServers || n >= minCrashesOneServer
+}
+
+// common returns the parts that stood beside the given part in each suspect of the
+// crashes, and that were not answered since the first.
+func (e *evidence) common(part uint64, list []crashID) []uint64 {
+	var kept []uint64
+	for _, id := range list {
+		for _, p := range e.crashes[id].prompts() {
+			switch {
+			case !slices.Contains(p, part):
+			case kept == nil:
+				kept = slices.Clone(p)
+			default:
+				kept = slices.DeleteFunc(kept, func(id uint64) bool { return !slices.Contains(p, id) })
+			}
+		}
+	}
+	first := e.crashes[list[0]].at
+	kept = slices.DeleteFunc(kept, func(id uint64) bool { return id != part && e.answered[id].After(first) })
+	slices.Sort(kept)
+	return slices.Compact(kept)
+}
+
+// contributed reports whether this entry has reported a suspect with all parts of a
+// verdict.
+func (e *evidence) contributed(v *verdict) bool {
+	for _, c := range e.crashes {
+		if r := c.reports[e.self]; r != nil {
+			own := crash{reports: map[string]*suspects{e.self: r}}
+			if own.has(v) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// count returns the number of crashes that a verdict explains.
+func (e *evidence) count(v *verdict) int {
+	n := 0
+	for _, c := range e.crashes {
+		if c.has(v) {
+			n++
+		}
+	}
+	return n
+}
--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -1,7 +1,6 @@
 package watch
 
 import (
-	"context"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -139,17 +138,10 @@
 		return err
 	}
 	for {
-		ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), readTimeout)
-		err := w.opts.Store.Put(ctx, sequoialead.TopicEntries, w.opts.Self.Name, record)
-		cancel()
-		if err != nil && w.tomb.Alive() {
+		if err := w.put(sequoialead.TopicEntries, record); err != nil && w.tomb.Alive() {
 			w.opts.Log.V(1).Info("announce-failed", "err", err)
 		}
-		timer := time.NewTimer(entriesInterval)
-		select {
-		case <-timer.C:
-		case <-w.tomb.Dying():
-			timer.Stop()
+		if w.pause(entriesInterval) {
 			return nil
 		}
 	}
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -43,6 +43,9 @@
 	// others and of the entries that get records from it, since the two intervals
 	// add up.
 	relayIntervalFactor = 0.5
+	// crashesShare is the interval between reads of the entries' evidence as a fraction
+	// of Options.Spread. A read by way of another entry takes one interval at most.
+	crashesShare = 0.5
 	// maxRelayAge is the maximum age of records from the entry that reads for the
 	// others, as a fraction of the interval. It covers that entry's own, shorter
 	// interval and a slow read.
@@ -93,6 +96,16 @@
 	ReadAny(ctx context.Context, request protocol.RecordsRequest, entries []membership.Member, age time.Duration) (response protocol.RecordsResponse, from string, ok bool)
 }
 
+// Evidence is what entries tell each other of prompts that crash backend servers.
+type Evidence interface {
+	// Apply takes over the record of an entry. The error says what is wrong with it.
+	Apply(entry string, raw []byte) error
+	// Record returns this entry's record; empty if there is nothing to tell.
+	Record() ([]byte, error)
+	// Changed returns a channel that has a value after Record has changed.
+	Changed() <-chan struct{}
+}
+
 // Options configures a watcher.
 type Options struct {
 	// Self is this entry.
@@ -100,7 +113,9 @@
 	Store   sequoialead.Store
 	Relay   Relay
 	Decoder Decoder
-	Log     klog.Logger
+	// Evidence is nil if there is none to be shared.
+	Evidence Evidence
+	Log      klog.Logger
 	// Metrics receives counters of reads.
 	Metrics *metrics.Set
 	// Now is a clock that goes on while the machine is suspended.
@@ -112,6 +127,8 @@
 	Apply  time.Duration
 	Revoke time.Duration
 	Drain  time.Duration
+	// Spread is the time within which the entries must know of each other's evidence.
+	Spread time.Duration
 	// AssumedEntries is the number of entries to assume until the records have been
 	// read.
 	AssumedEntries int
@@ -171,6 +188,12 @@
 		topic: sequoialead.TopicEntries, interval: entriesInterval, firstInterval: entriesFirstInterval, apply: w.applyEntries, lease: lease.New(),
 	})
 	w.tomb.Go(w.announce)
+	if w.opts.Evidence != nil {
+		w.follow(&follower{
+			topic: sequoialead.TopicCrashes, interval: time.Duration(crashesShare * float64(w.opts.Spread)), apply: w.applyCrashes, lease: lease.New(),
+		})
+		w.tomb.Go(w.publish)
+	}
 	return nil
 }
 
--- a/errors.go
+++ b/errors.go
@@ -24,6 +24,9 @@
 	// ErrLost reports a call that was sent but whose result was not received, so
 	// it may or may not have run.
 	ErrLost = errs.NewType("lost")
+	// ErrBroken reports an ErrLost call whose connection was closed or reset by the other
+	// side, as a process does that ends.
+	ErrBroken = ErrLost.NewSubtype("broken")
 	// ErrPlatform reports a platform service that is down, slow or has lost records.
 	ErrPlatform = errs.NewType("platform")
 	// ErrGone reports a read of records that the platform no longer retains.
--- a/io/http1/do.go
+++ b/io/http1/do.go
@@ -11,8 +11,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"sequoialead"
 )
 
@@ -108,7 +111,7 @@
 		if n == 0 {
 			return nil, sequoialead.ErrUnsent.Wrap(err, "%s closed a reused connection; try again", k.addr)
 		}
-		return nil, sequoialead.ErrLost.Wrap(err, "%s closed the connection while a request was being sent", k.addr)
+		return nil, lostType(err).Wrap(err, "the connection to %s failed while a request was being sent", k.addr)
 	}
 	if len(req.Body) > syncBodyBytes {
 		go func() {
@@ -118,13 +121,22 @@
 	}
 	response, err := k.readResponse(req)
 	if err != nil {
-		return nil, sequoialead.ErrLost.Wrap(err, "no valid response was received from %s", k.addr)
+		return nil, lostType(err).Wrap(err, "no valid response was received from %s", k.addr)
 	}
 	response.client = c
 	response.bodySent = bodySent
 	return response, nil
 }
 
+// lostType returns ErrBroken if the peer has closed or reset the connection, as opposed to
+// one that has timed out, was closed here or carried something invalid; else ErrLost.
+func lostType(err error) *errorx.Type {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return sequoialead.ErrBroken
+	}
+	return sequoialead.ErrLost
+}
+
 func encodeHead(req Request) []byte {
 	var b bytes.Buffer
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
@@ -203,7 +215,7 @@
 	if errors.Is(err, io.EOF) {
 		r.release()
 	} else if err != nil {
-		err = sequoialead.ErrLost.Wrap(err, "the response from %s was truncated", r.conn.addr)
+		err = lostType(err).Wrap(err, "the response from %s was truncated", r.conn.addr)
 	}
 	return n, err
 }
--- a/proxy.go
+++ b/proxy.go
@@ -222,4 +222,7 @@
 	TopicServers Topic = "servers"
 	// TopicEntries holds a record for each entry.
 	TopicEntries Topic = "entries"
+	// TopicCrashes holds a record for each entry with the prompts that may have
+	// crashed backend servers.
+	TopicCrashes Topic = "crashes"
 )
--- a/reason.go
+++ b/reason.go
@@ -33,6 +33,7 @@
 	ReasonGone        Reason = "gone"
 	ReasonRoom        Reason = "room"
 	ReasonTimeout     Reason = "timeout"
+	ReasonQuarantine  Reason = "quarantine"
 )
 
 // Remedy describes the reason and tells a caller or an operator how to react.
@@ -90,6 +91,8 @@
 		return "the time given for the request was used up; retry when load is lower"
 	case ReasonGone:
 		return "the result of an earlier stage is no longer held; retry"
+	case ReasonQuarantine:
+		return "prompts with these parts have crashed backend servers; change the prompt, or retry after the time given"
 	case ReasonRoom:
 		return "the backend server has no room for results; retry after the time given"
 	}
