quarantine: Leave out parts that were answered before

All nine engines ended within 1.3 s. Entries that had only sound requests waiting there took their common first part for the cause before the report of the request that it was came in; without a running engine nothing was answered that could refute it, and the others took the verdict over, for five minutes.

A report now leaves out parts that its entry has seen answered in the last five minutes, unless three servers have ended under them since; a crash of which no answer is known to have begun counts once the other entries' reports must be there, and only with suspects of this entry; a part that was answered here needs twice the evidence. TestPartsOfWaitingRequestsStayFree fails with these three taken out (as before this commit), and passes with any one left.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -112,7 +112,7 @@
 		Name: s.name, Log: log, OnChange: changed,
 		Handler: &siblingHandler{delegate: func() *delegate.Delegate { return forwarder.Delegate() }, watcher: func() *watch.Watcher { return watcher }},
 	})
-	quarantined := quarantine.New(quarantine.Options{Entry: s.name, Log: log, Metrics: set, Now: bootclock.Now, Wall: time.Now})
+	quarantined := quarantine.New(quarantine.Options{Entry: s.name, Log: log, Metrics: set, Now: bootclock.Now, Wall: time.Now, Spread: s.spread})
 	self := membership.Member{Name: s.name, Domain: s.domain, Addr: s.advertisedAddr(), CPU: s.cpu}
 	watcher = watch.New(watch.Options{
 		Self:           self,
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -230,6 +230,7 @@
 // Refresh applies changes of the configuration, the entries and the backend servers.
 func (f *Forwarder) Refresh() {
 	now := f.opts.Now()
+	f.opts.Quarantine.Refresh()
 	conf := f.opts.Knowledge.Config()
 	if conf == nil {
 		return
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"sequoialead"
 )
 
@@ -43,6 +45,16 @@
 	waiting [][]uint64
 }
 
+// begun reports whether the server had begun to answer one of the suspects.
+func (c *crash) begun() bool {
+	for _, r := range c.reports {
+		if len(r.begun) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // prompts returns the suspects of a crash: those that the server had begun to answer, or
 // all others if there is none.
 func (c *crash) prompts() [][]uint64 {
@@ -57,17 +69,46 @@
 	return waiting
 }
 
-// evidence holds the crashes that are known and the parts that were answered since.
+// evidence holds the crashes that are known and the parts that were answered.
 type evidence struct {
 	// self is the name of this entry.
-	self    string
+	self string
+	// spread is the time within which the other entries' reports arrive.
+	spread  time.Duration
 	crashes map[crashID]*crash
-	// answered maps parts to the time of the first byte of the newest answer.
-	answered map[uint64]time.Time
+	// answers maps parts to the time of the first byte of the newest answer.
+	answers *simplelru.LRU[uint64, time.Time]
 	// reported holds the parts of this entry's own suspects.
 	reported map[uint64]bool
 	// lastReport is when this entry last reported a suspect.
 	lastReport time.Time
+	// completeAt is when the other entries' reports of the latest crash without an answer
+	// that had begun must have arrived; zero if that was evaluated.
+	completeAt time.Time
+	// unanswered counts, for parts with an earlier answer, the server processes of this
+	// entry that have ended under them since.
+	unanswered map[uint64]map[crashID]bool
+}
+
+func newEvidence(self string, spread time.Duration) evidence {
+	answers, err := simplelru.NewLRU[uint64, time.Time](maxAnswered, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return evidence{self: self, spread: spread, crashes: map[crashID]*crash{}, answers: answers, reported: map[uint64]bool{}, unanswered: map[uint64]map[crashID]bool{}}
+}
+
+// answered returns the time of the first byte of the newest answer to a prompt with the
+// given part; zero if there was none.
+func (e *evidence) answered(part uint64) time.Time {
+	at, _ := e.answers.Peek(part)
+	return at
+}
+
+// remembered reports whether a part was answered within answerMemory.
+func (e *evidence) remembered(part uint64, now time.Time) bool {
+	at, ok := e.answers.Peek(part)
+	return ok && now.Sub(at) <= answerMemory
 }
 
 // shared returns the IDs of the parts that other requests may have too: all but the last.
@@ -92,6 +133,41 @@
 	return strings.Join(texts, ",")
 }
 
+// addOwn adds a suspect of this entry, without the parts that were answered before, unless
+// several servers have ended under them since the last answer. It reports false if there is
+// nothing to add.
+func (e *evidence) addOwn(id crashID, prompt []uint64, begun bool, now, wall time.Time) bool {
+	kept := make([]uint64, 0, len(prompt))
+	for _, part := range prompt {
+		if !e.remembered(part, now) || e.countUnanswered(part, id) >= minCrashes {
+			kept = append(kept, part)
+		}
+	}
+	if len(kept) == 0 || !e.add(e.self, id, kept, begun, now, wall) {
+		return false
+	}
+	e.lastReport = now
+	if !begun {
+		e.completeAt = now.Add(e.spread)
+	}
+	for _, part := range kept {
+		e.reported[part] = true
+	}
+	return true
+}
+
+// countUnanswered returns the number of server processes that have ended under a part since
+// its last answer, this one included.
+func (e *evidence) countUnanswered(part uint64, id crashID) int {
+	ended := e.unanswered[part]
+	if ended == nil {
+		ended = map[crashID]bool{}
+		e.unanswered[part] = ended
+	}
+	ended[id] = true
+	return len(ended)
+}
+
 // add adds a suspect. It reports false if it was known, or too many are.
 func (e *evidence) add(entry string, id crashID, prompt []uint64, begun bool, at, wall time.Time) bool {
 	c := e.crash(id, at, wall)
@@ -111,12 +187,6 @@
 		return false
 	}
 	*list = append(*list, prompt)
-	if entry == e.self {
-		e.lastReport = at
-		for _, id := range prompt {
-			e.reported[id] = true
-		}
-	}
 	return true
 }
 
@@ -132,21 +202,15 @@
 
 // recordAnswer records an answer. It reports whether other entries should know that a part
 // which this entry has reported was answered since.
-func (e *evidence) recordAnswer(prompt []uint64, firstByteAt, now time.Time) (withdrawn bool) {
-	if len(e.answered) > maxAnswered {
-		for id, at := range e.answered {
-			if now.Sub(at) > evidenceAge {
-				delete(e.answered, id)
-			}
-		}
-	}
-	for _, id := range prompt {
-		previous := e.answered[id]
+func (e *evidence) recordAnswer(prompt []uint64, firstByteAt time.Time) (withdrawn bool) {
+	for _, part := range prompt {
+		previous := e.answered(part)
 		if !firstByteAt.After(previous) {
 			continue
 		}
-		e.answered[id] = firstByteAt
-		withdrawn = withdrawn || previous.Before(e.lastReport) && e.reported[id] && e.withdraws(id, previous, firstByteAt)
+		e.answers.Add(part, firstByteAt)
+		delete(e.unanswered, part)
+		withdrawn = withdrawn || previous.Before(e.lastReport) && e.reported[part] && e.withdraws(part, previous, firstByteAt)
 	}
 	return withdrawn
 }
@@ -183,6 +247,16 @@
 		return
 	}
 	clear(e.reported)
+	for part, ended := range e.unanswered {
+		for id := range ended {
+			if e.crashes[id] == nil && now.Sub(e.answered(part)) > answerMemory {
+				delete(ended, id)
+			}
+		}
+		if len(ended) == 0 {
+			delete(e.unanswered, part)
+		}
+	}
 	for _, c := range e.crashes {
 		if r := c.reports[e.self]; r != nil {
 			for _, id := range slices.Concat(slices.Concat(r.begun, r.waiting)...) {
@@ -219,22 +293,24 @@
 
 // explain returns the verdict that explains the most crashes, among them an unexplained
 // one; nil if there is none. A part of an earlier verdict needs only one unexplained
-// crash: it was there without some of the other parts.
-func (e *evidence) explain(unexplained map[crashID]bool, verdicts []*verdict) *verdict {
+// crash with an answer that had begun: it was there without some of the other parts.
+func (e *evidence) explain(unexplained map[crashID]bool, verdicts []*verdict, now time.Time) *verdict {
 	var best []crashID
 	bestPart := uint64(0)
-	for part, crashes := range e.byPart() {
+	for part, crashes := range e.byPart(now) {
 		if len(crashes) < minCrashes || len(crashes) < len(best) || len(crashes) == len(best) && part > bestPart {
 			continue
 		}
 		fresh := slices.DeleteFunc(slices.Clone(crashes), func(id crashID) bool { return !unexplained[id] })
-		if len(fresh) == 0 {
-			continue
-		}
-		if slices.ContainsFunc(verdicts, func(v *verdict) bool { return slices.Contains(v.parts, part) }) {
+		known := slices.ContainsFunc(verdicts, func(v *verdict) bool { return slices.Contains(v.parts, part) })
+		if known && slices.ContainsFunc(fresh, func(id crashID) bool { return e.crashes[id].begun() }) {
 			fresh = crashes
 		}
-		if e.enough(fresh) {
+		factor := 1
+		if e.remembered(part, now) {
+			factor = answeredFactor
+		}
+		if len(fresh) > 0 && e.enough(fresh, factor) {
 			best, bestPart = crashes, part
 		}
 	}
@@ -246,17 +322,20 @@
 
 // byPart returns for each part of a suspect the crashes after which it was not answered,
 // in the order in which they happened.
-func (e *evidence) byPart() map[uint64][]crashID {
+func (e *evidence) byPart(now time.Time) map[uint64][]crashID {
 	ids := slices.SortedFunc(maps.Keys(e.crashes), func(a, b crashID) int {
 		return cmp.Or(e.crashes[a].happenedAt.Compare(e.crashes[b].happenedAt), cmp.Compare(a.server, b.server), cmp.Compare(a.startedAt, b.startedAt))
 	})
 	index := map[uint64][]crashID{}
 	for _, id := range ids {
 		c := e.crashes[id]
+		if !e.counts(c, now) {
+			continue
+		}
 		for _, prompt := range c.prompts() {
 			for _, part := range prompt {
 				list := index[part]
-				if (len(list) == 0 || list[len(list)-1] != id) && !e.answered[part].After(c.at) {
+				if (len(list) == 0 || list[len(list)-1] != id) && !e.answered(part).After(c.at) {
 					index[part] = append(list, id)
 				}
 			}
@@ -265,9 +344,16 @@
 	return index
 }
 
+// counts reports whether a crash tells anything yet. If no answer is known to have begun,
+// the request that caused it may be at another entry, whose report is under way; and the
+// requests that other entries had waiting there say little.
+func (e *evidence) counts(c *crash, now time.Time) bool {
+	return c.begun() || c.reports[e.self] != nil && now.Sub(c.at) >= e.spread
+}
+
 // enough reports whether the crashes, in the order in which they happened, are enough for
-// a verdict.
-func (e *evidence) enough(list []crashID) bool {
+// a verdict. The factor multiplies the numbers that are asked for.
+func (e *evidence) enough(list []crashID, factor int) bool {
 	servers := map[string]bool{}
 	n := 0
 	var last time.Time
@@ -277,7 +363,7 @@
 			n, last = n+1, at
 		}
 	}
-	return n >= minCrashes && len(servers) >= minServers || n >= minCrashesOneServer
+	return n >= factor*minCrashes && len(servers) >= minServers || n >= factor*minCrashesOneServer
 }
 
 // common returns the parts that stood beside the given part in each suspect of the
@@ -296,7 +382,7 @@
 		}
 	}
 	first := e.crashes[list[0]].at
-	kept = slices.DeleteFunc(kept, func(id uint64) bool { return id != part && e.answered[id].After(first) })
+	kept = slices.DeleteFunc(kept, func(id uint64) bool { return id != part && e.answered(id).After(first) })
 	slices.Sort(kept)
 	return slices.Compact(kept)
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -4,7 +4,8 @@
 // A request whose server ends before the first byte of its answer is a suspect, and so
 // are the others that the server had not begun to answer. A part that was among the
 // suspects of several crashes, and in no answer since, explains them. Entries tell each
-// other of crashes, because each sees only its own requests.
+// other of crashes, because each sees only its own requests; they leave out parts that
+// they have seen answered.
 package quarantine
 
 import (
@@ -26,6 +27,9 @@
 	minCrashes          = 3
 	minServers          = 2
 	minCrashesOneServer = 5
+	// answeredFactor multiplies these numbers for a part that this entry has seen
+	// answered before.
+	answeredFactor = 2
 	// minSpacing is the time within which several crashes count as one. Servers that
 	// end at the same moment have a common cause outside of their requests.
 	minSpacing = 300 * time.Millisecond
@@ -36,10 +40,11 @@
 	hold = 5 * time.Minute
 	// recentAnswer is the age of an answer up to which it contradicts another
 	// entry's verdict on the same parts.
-	recentAnswer = 2 * time.Second
-	// maxAnswered is the number of parts in memory above which those without an
-	// answer for evidenceAge are forgotten.
-	maxAnswered = 8192
+	recentAnswer = 10 * time.Second
+	// answerMemory is how long an answer speaks for its parts, and maxAnswered the
+	// number of parts that are remembered.
+	answerMemory = 5 * time.Minute
+	maxAnswered  = 8192
 )
 
 // Options configures a quarantine.
@@ -53,6 +58,8 @@
 	// of day, by which entries tell each other when something happened.
 	Now  func() time.Time
 	Wall func() time.Time
+	// Spread is the time within which the other entries' reports of a crash arrive.
+	Spread time.Duration
 }
 
 // verdict holds back requests that have all of its parts. It has one part as soon as the
@@ -86,7 +93,7 @@
 func New(opts Options) *Quarantine {
 	q := &Quarantine{
 		opts: opts, changed: make(chan struct{}, 1), refuted: map[uint64]time.Time{},
-		evidence: evidence{self: opts.Entry, crashes: map[crashID]*crash{}, answered: map[uint64]time.Time{}, reported: map[uint64]bool{}},
+		evidence: newEvidence(opts.Entry, opts.Spread),
 	}
 	q.verdicts.Store(&[]*verdict{})
 	opts.Metrics.NewGauge("sequoialead_quarantined", func() float64 { return float64(len(*q.verdicts.Load())) })
@@ -128,7 +135,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	id := crashID{server: server.ID, startedAt: server.StartedAt.UnixMilli()}
-	if q.evidence.add(q.opts.Entry, id, prompt, begun, q.opts.Now(), q.opts.Wall()) {
+	if q.evidence.addOwn(id, prompt, begun, q.opts.Now(), q.opts.Wall()) {
 		q.opts.Log.Info("crash-suspect", "server", id.server, "started", server.StartedAt, "begun", begun, "parts", format(prompt))
 		q.evaluate()
 		q.markChanged()
@@ -144,8 +151,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.opts.Now()
-	if q.evidence.recordAnswer(prompt, firstByteAt, now) {
+	if q.evidence.recordAnswer(prompt, firstByteAt) {
 		q.markChanged()
 	}
 	for _, v := range *q.verdicts.Load() {
@@ -159,6 +165,16 @@
 	}
 }
 
+// Refresh evaluates the evidence once the reports of other entries must have arrived.
+func (q *Quarantine) Refresh() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if at := q.evidence.completeAt; !at.IsZero() && !q.opts.Now().Before(at) {
+		q.evidence.completeAt = time.Time{}
+		q.evaluate()
+	}
+}
+
 // evaluate makes verdicts of the evidence, and prolongs those that explain a new crash.
 // q.mu must be held.
 func (q *Quarantine) evaluate() {
@@ -166,7 +182,7 @@
 	q.evidence.prune(now)
 	verdicts := q.current(now)
 	for {
-		found := q.evidence.explain(q.evidence.unexplained(verdicts), verdicts)
+		found := q.evidence.explain(q.evidence.unexplained(verdicts), verdicts, now)
 		if found == nil {
 			break
 		}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -13,7 +13,11 @@
 	"sequoialead/core/quarantine"
 )
 
-const deadly = 0xdead
+const (
+	deadly = 0xdead
+	// spread is the time within which entries read each other's records.
+	spread = 3 * time.Second
+)
 
 // fleet is a number of entries on one clock, which read each other's records on Share.
 type fleet struct {
@@ -34,7 +38,7 @@
 // start returns the quarantine of a new process of an entry.
 func (f *fleet) start(i int) *quarantine.Quarantine {
 	now := func() time.Time { return f.now }
-	return quarantine.New(quarantine.Options{Entry: fmt.Sprintf("e%d", i), Metrics: metrics.NewSet(), Now: now, Wall: now})
+	return quarantine.New(quarantine.Options{Entry: fmt.Sprintf("e%d", i), Metrics: metrics.NewSet(), Now: now, Wall: now, Spread: spread})
 }
 
 // prompt returns a prompt with the given parts and a last one of its own.
@@ -165,6 +169,8 @@
 					wait(time.Second)
 					f.answer(0, 1, 8)
 				}
+				wait(spread)
+				f.entries[0].Refresh()
 			},
 			want: map[string][]uint64{"deadly": {1, deadly}},
 			free: map[string][]uint64{"others": {10, 8}},
@@ -270,6 +276,54 @@
 	}
 }
 
+// All servers end one after the other under requests of entry 0, while entry 1 has sound
+// ones waiting at each of them. Without servers nothing is answered, so that their first
+// part was held back as well, and with it nearly all requests.
+func TestPartsOfWaitingRequestsStayFree(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(3)
+	for e := range f.entries {
+		f.answer(e, 1)
+	}
+	f.now = f.now.Add(15 * time.Second)
+	for s := range 9 {
+		f.crashWith(1, s, false, 1, uint64(100+s))
+		f.crashWith(2, s, false, 1, uint64(200+s))
+		f.crash(0, s, 1, 2, deadly)
+		f.now = f.now.Add(400 * time.Millisecond)
+		if s%2 == 1 {
+			f.share(t)
+		}
+	}
+	for range 20 {
+		f.now = f.now.Add(time.Second)
+		f.share(t)
+		for _, e := range f.entries {
+			e.Refresh()
+		}
+	}
+	for i := range f.entries {
+		c.Assert(f.held(i, 1, 2, deadly), qt.IsTrue, qt.Commentf("entry %d", i))
+		c.Assert(f.held(i, 1), qt.IsFalse, qt.Commentf("entry %d", i))
+		c.Assert(f.held(i, 1, 2), qt.IsFalse, qt.Commentf("entry %d", i))
+	}
+}
+
+// A part may begin to crash servers after a change of these, when it was answered before.
+func TestAnsweredPartsCanBecomeDeadly(t *testing.T) {
+	f := newFleet(2)
+	f.answer(0, 1, deadly)
+	for s := range 9 {
+		f.now = f.now.Add(time.Second)
+		if !f.held(0, 1, deadly) {
+			f.crash(0, s, 1, deadly)
+		}
+		f.answer(0, 1)
+	}
+	qt.Assert(t, f.held(0, 1, deadly), qt.IsTrue)
+	qt.Assert(t, f.held(0, 1), qt.IsFalse)
+}
+
 // An entry that starts has no evidence of its own, and the others' may be over.
 func TestRestartedEntriesKnowVerdicts(t *testing.T) {
 	c := qt.New(t)
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -78,7 +78,7 @@
 func (q *Quarantine) unanswered(prompts [][]uint64, c *crash) [][]uint64 {
 	var kept [][]uint64
 	for _, p := range prompts {
-		p = slices.DeleteFunc(slices.Clone(p), func(id uint64) bool { return q.evidence.answered[id].After(c.at) })
+		p = slices.DeleteFunc(slices.Clone(p), func(id uint64) bool { return q.evidence.answered(id).After(c.at) })
 		if len(p) > 0 {
 			kept = append(kept, p)
 		}
@@ -149,7 +149,7 @@
 		return
 	}
 	q.refuted[r.Part] = at
-	q.evidence.answered[r.Part] = now
+	q.evidence.answers.Add(r.Part, now)
 	for _, v := range *q.verdicts.Load() {
 		if slices.Contains(v.parts, r.Part) {
 			q.drop(v, "answered-elsewhere")
@@ -165,7 +165,7 @@
 		return
 	}
 	_, refutedBefore := q.refuted[r.Parts[0]]
-	refuted := refutedBefore || !slices.ContainsFunc(r.Parts, func(id uint64) bool { return now.Sub(q.evidence.answered[id]) > recentAnswer })
+	refuted := refutedBefore || !slices.ContainsFunc(r.Parts, func(id uint64) bool { return now.Sub(q.evidence.answered(id)) > recentAnswer })
 	verdicts := q.current(now)
 	known := slices.ContainsFunc(verdicts, func(v *verdict) bool {
 		return !slices.ContainsFunc(v.parts, func(id uint64) bool { return !slices.Contains(r.Parts, id) })
