forward, http1: Take a stream that ends inside an event as broken off

An answer may have neither length nor chunks and end with its connection. A server that crashed in the middle of such a stream closes it like one that is done, and the caller got a stream that looked complete; one that crashed before its first event an empty, successful one. Class: an end of file taken for the end of an answer.

A stream that ends with part of an event pending, or without any event and with its connection, is broken off: resumed where it may be, else its connection is closed. A stream that another server continues must hold events too: of a text of another kind nothing is passed on in the middle of a stream.

--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 
 func (e *crashingEngines) Exchange(ctx context.Context, attempt sequoialead.ProxyAttempt) (*sequoialead.Response, error) {
 	response, err := e.fakePlatform.Exchange(ctx, attempt)
+	response.Body = &fakeBody{parts: events("", 2), err: io.EOF}
 	if slices.ContainsFunc(attempt.Request.Prompt.Parts, func(p sequoialead.PromptPart) bool { return p.ID == e.deadly }) {
 		e.crashed = append(e.crashed, e.current)
 		for i := range e.servers {
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -139,6 +139,22 @@
 		return nil, lost
 	case "events":
 		r.Body = &fakeBody{parts: events(attempt.LastEventID, 4), err: io.EOF}
+	case "events-inside":
+		r.Body = &fakeBody{parts: append(events(attempt.LastEventID, 2), "id: 3\nda"), err: io.EOF}
+	case "closed-events":
+		r.CloseDelimited = true
+		r.Body = &fakeBody{parts: events(attempt.LastEventID, 4), err: io.EOF}
+	case "closed-inside":
+		r.CloseDelimited = true
+		r.Body = &fakeBody{parts: append(events(attempt.LastEventID, 2), "id: 3\nda"), err: io.EOF}
+	case "closed-empty":
+		r.CloseDelimited = true
+	case "closed-whole":
+		r.CloseDelimited = true
+		r.Body = &fakeBody{parts: []string{"whole"}, err: io.EOF}
+	case "text":
+		r.Header.Set("Content-Type", "application/json")
+		r.Body = &fakeBody{parts: []string{"{}"}, err: io.EOF}
 	case "broken":
 		r.Body = &fakeBody{parts: append(events(attempt.LastEventID, 2), "id: 3\nda"), err: lost}
 	}
@@ -276,6 +292,18 @@
 		{"resumable: continues after the last complete event", resumable, "broken events", 2, 200, allEvents},
 		{"resumable: lost before the first event", resumable, "lost events", 2, 200, allEvents},
 		{"resumable: broken off each time is incomplete", resumable, "broken lost lost", 3, 0, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		{"safe: an answer that ends with its connection", safe, "closed-whole", 1, 200, "whole"},
+		{"stream: ends with its connection", stream, "closed-events", 1, 200, allEvents},
+		{"stream: another kind of text has no events", stream, "text", 1, 200, "{}"},
+		{"stream: ends with its connection inside an event", stream, "closed-inside events", 1, 0, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\nda"},
+		{"stream: ends inside an event", stream, "events-inside events", 1, 0, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\nda"},
+		{"stream: ends with its connection before the first event", stream, "closed-empty events", 1, 502, ""},
+		{"resumable: ends with its connection", resumable, "closed-events", 1, 200, allEvents},
+		{"resumable: ends with its connection inside an event, then continues", resumable, "closed-inside events", 2, 200, allEvents},
+		{"resumable: ends inside an event, then continues", resumable, "events-inside events", 2, 200, allEvents},
+		{"resumable: ends with its connection before the first event, then answered", resumable, "closed-empty events", 2, 200, allEvents},
+		{"resumable: failed after the first events is incomplete", resumable, "broken failed failed", 3, 0, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		{"resumable: another kind of text after the first events is incomplete", resumable, "broken text text", 3, 0, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
 		{"resumable: refused after the first events is incomplete", resumable, "broken shed shed", 3, 0, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
 	}
 	for _, test := range tests {
--- a/core/forward/replay_test.go
+++ b/core/forward/replay_test.go
@@ -92,7 +92,7 @@
 	case <-ctx.Done():
 		return nil, sequoialead.ErrLost.New("given up")
 	}
-	return &sequoialead.Response{Status: http.StatusOK, Header: http.Header{}, Stamped: true, Body: &fakeBody{parts: []string{"x"}, err: io.EOF}}, nil
+	return &sequoialead.Response{Status: http.StatusOK, Header: http.Header{}, Stamped: true, Body: &fakeBody{parts: events("", 1), err: io.EOF}}, nil
 }
 
 func (m *loadModel) Make(_ context.Context, server sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, *sequoialead.ServerLoad, error) {
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -177,7 +178,7 @@
 	if j.route.Repeatable() {
 		onFailure = actionRetry
 	}
-	if success && (!r.Stamped || r.Header.Get("Content-Encoding") != "") || j.headSent && !success {
+	if success && (!r.Stamped || r.Header.Get("Content-Encoding") != "") || j.headSent && (!success || !isEventStream(r.Header)) {
 		j.trail.Add("answer-odd", "server", place.Server.ID, "status", r.Status, "genuine", r.Stamped)
 		return pool.EndFailed, onFailure, sequoialead.ReasonBackend
 	}
@@ -271,9 +272,11 @@
 }
 
 // stream passes events on as they arrive. Of a resumable stream only complete
-// events are passed on, so that another backend server can continue it.
+// events are passed on, so that another backend server can continue it. A stream that ends
+// inside an event was broken off, and so was one without any that ends with its connection.
 func (f *Forwarder) stream(ctx context.Context, j *job, place *pool.Place, r *sequoialead.Response, sink Sink) (pool.End, action, sequoialead.Reason) {
 	splitter := sse.New()
+	hasEvents := isEventStream(r.Header)
 	buf := make([]byte, copyBufferBytes)
 	var lastRead, firstRead time.Time
 	sound := false
@@ -292,11 +295,8 @@
 			firstRead = now
 		}
 		received += n
-		if !sound && received > 0 && (errors.Is(err, io.EOF) || now.Sub(firstRead) > soundAfter) {
-			sound = true
-			f.recordAnswer(j, firstRead)
-		}
-		if j.route.Resumable {
+		switch {
+		case j.route.Resumable && hasEvents:
 			data = splitter.Feed(data)
 			if id := splitter.LastID(); id != "" {
 				j.lastEventID = id
@@ -304,6 +304,15 @@
 			if err == nil && splitter.Pending() > maxEventBytes {
 				err = sequoialead.ErrProtocol.New("an event of more than %d bytes", maxEventBytes)
 			}
+		case hasEvents:
+			splitter.Skim(data)
+		}
+		if errors.Is(err, io.EOF) && (splitter.Pending() > 0 || received == 0 && r.CloseDelimited) {
+			err = sequoialead.ErrBroken.New("the stream from %s ended inside an event", place.Server.ID)
+		}
+		if !sound && received > 0 && (errors.Is(err, io.EOF) || now.Sub(firstRead) > soundAfter) {
+			sound = true
+			f.recordAnswer(j, firstRead)
 		}
 		if len(data) > 0 {
 			f.recordFirstByte(j, place)
@@ -316,9 +325,6 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			j.sendHead(r, sink)
-			if rest := splitter.Flush(); len(rest) > 0 && sink.Write(rest) != nil {
-				return pool.EndAbandoned, actionFail, sequoialead.ReasonCancelled
-			}
 			return pool.EndDone, actionDone, ""
 		case err != nil && ctx.Err() != nil:
 			return pool.EndAbandoned, actionFail, sequoialead.ReasonCancelled
@@ -335,3 +341,10 @@
 		}
 	}
 }
+
+// isEventStream reports whether the answer to a request for a stream holds events, as far as
+// its headers tell.
+func isEventStream(h http.Header) bool {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return kind == "" || strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+}
--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -5,6 +5,10 @@
 
 import "bytes"
 
+// maxSkimmed is the number of bytes that Skim keeps of an incomplete event. It is enough to
+// find the event's end.
+const maxSkimmed = 16
+
 // Splitter buffers incomplete events of one stream. It is not safe for concurrent
 // use.
 type Splitter struct {
@@ -33,14 +37,18 @@
 	return complete
 }
 
-// Flush returns the bytes of an incomplete event and clears them.
-func (s *Splitter) Flush() []byte {
-	rest := s.partial
-	s.partial = nil
-	return rest
+// Skim notes bytes of the stream that are passed on as they come, without holding back an
+// incomplete event.
+func (s *Splitter) Skim(data []byte) {
+	s.partial = append(s.partial, data...)
+	s.partial = s.partial[completeLength(s.partial):]
+	if len(s.partial) > maxSkimmed {
+		s.partial = append(s.partial[:0], s.partial[len(s.partial)-maxSkimmed:]...)
+	}
 }
 
-// Pending returns the number of bytes of the incomplete event.
+// Pending returns the number of bytes of the incomplete event; at most maxSkimmed after
+// Skim.
 func (s *Splitter) Pending() int { return len(s.partial) }
 
 // LastID returns the ID of the latest complete event that has one, or an empty
--- a/io/http1/do.go
+++ b/io/http1/do.go
@@ -50,6 +50,9 @@
 	Header http.Header
 	// ContentLength is the number of bytes of the body; negative if unknown.
 	ContentLength int64
+	// CloseDelimited is set if the body has neither a Content-Length nor a transfer
+	// encoding, so that it ends with its connection.
+	CloseDelimited bool
 
 	client *Client
 	conn   *conn
@@ -61,11 +64,8 @@
 	bodySent chan struct{}
 	// keepAlive is set if the peer keeps the connection open after the response.
 	keepAlive bool
-	// framed is set if the end of the body is known without closing the
-	// connection: it has a Content-Length or a transfer encoding.
-	framed bool
-	once   sync.Once
-	ended  bool
+	once      sync.Once
+	ended     bool
 }
 
 // Do sends a request and reads the head of its response. The error is
@@ -172,7 +172,7 @@
 		k.applyKeepAlive(raw.Header)
 		return &Response{
 			Status: raw.StatusCode, Header: raw.Header, ContentLength: raw.ContentLength,
-			conn: k, body: raw.Body, keepAlive: framed && !raw.Close, framed: framed,
+			CloseDelimited: !framed, conn: k, body: raw.Body, keepAlive: framed && !raw.Close,
 		}, nil
 	}
 	return nil, errors.New("received only responses to other requests")
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -121,6 +121,44 @@
 	c.Assert(p.connCount(), qt.Equals, 1)
 }
 
+// A body without a length or chunks may have been broken off, which callers must be able to
+// tell; one that is reset was.
+func TestBodyThatEndsWithItsConnection(t *testing.T) {
+	tests := []struct {
+		desc           string
+		head           string
+		closeDelimited bool
+		reset          bool
+	}{
+		{"neither length nor chunks", "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nok", true, false},
+		{"neither, and reset", "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nok", true, true},
+		{"a length", completeResponse, false, false},
+		{"chunks", "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			p := newFakeServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				write(conn, test.head)
+				if test.reset {
+					time.Sleep(50 * time.Millisecond) // lets the client read what was sent
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			client := newClient(t)
+			response, err := client.Do(context.Background(), p.addr, newRequest("body"))
+			c.Assert(err, qt.IsNil)
+			c.Assert(response.CloseDelimited, qt.Equals, test.closeDelimited)
+			body, err := response.ReadAll(100)
+			c.Assert(string(body), qt.Equals, "ok")
+			c.Assert(errorx.IsOfType(err, sequoialead.ErrBroken), qt.Equals, test.reset)
+		})
+	}
+}
+
 func TestMalformedResponses(t *testing.T) {
 	tests := []struct {
 		desc string
--- a/proxy.go
+++ b/proxy.go
@@ -127,6 +127,9 @@
 	Stamped bool
 	// Length is the number of bytes of the body; negative if unknown.
 	Length int64
+	// CloseDelimited is set if only the end of the connection marks the end of the body,
+	// so that an answer which was broken off may look complete.
+	CloseDelimited bool
 	// Load is nil if the answer does not report the load.
 	Load *ServerLoad
 	// Body ends with io.EOF only if the whole body was read.
