platform, forward: Believe a refusal only if it is known to be the request's own

A faulty server may write an earlier refusal once more on a kept connection. With the ID of the earlier request it was passed over already. Without any, it was taken for the refusal of the next request, which then ran at a second server, or whose caller was told that it hadn't run while it did. In the same way a 408, 421, 429 or 503 of a server that doesn't state that the request was not run went to callers as it was, and these take it for that promise.

An answer without the request's ID on a connection that has carried another answer proves nothing now, and no status that promises is passed on without proof: the attempt counts as lost.

--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -130,6 +130,8 @@
 		r.Status, r.NotRun = http.StatusConflict, true
 	case "failed":
 		r.Status = http.StatusInternalServerError
+	case "unproven-full", "unproven-elsewhere":
+		r.Status = map[string]int{"unproven-full": http.StatusServiceUnavailable, "unproven-elsewhere": http.StatusMisdirectedRequest}[step]
 	case "odd":
 		r.Stamped = false
 	case "cut":
@@ -280,6 +282,10 @@
 		{"unsafe: refused, then answered", unsafe, "shed done", 2, 200, "whole"},
 		{"unsafe: another server has the address, then answered", unsafe, "elsewhere done", 2, 200, "whole"},
 		{"unsafe: refused each time is reported as not run", unsafe, "shed shed shed", 3, 503, ""},
+		{"unsafe: a refusal without proof is not passed on as not run", unsafe, "unproven-full done", 1, 502, ""},
+		{"unsafe: another server's refusal without proof is not passed on as not run", unsafe, "unproven-elsewhere done", 1, 502, ""},
+		{"safe: a refusal without proof is retried", safe, "unproven-full done", 2, 200, "whole"},
+		{"safe: refusals without proof are not passed on as not run", safe, "unproven-full unproven-full unproven-full", 3, 502, ""},
 		{"unsafe: refused, then lost is reported as possibly run", unsafe, "shed lost done", 2, 502, ""},
 		{"unsafe: no connection anywhere is reported as not run", unsafe, "unsent unsent unsent unsent", 3, 503, ""},
 		{"unsafe: refused with a body without end, then answered", unsafe, "shed-endless done", 2, 200, "whole"},
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -178,7 +178,7 @@
 	if j.route.Repeatable() {
 		onFailure = actionRetry
 	}
-	if success && (!r.Stamped || r.Header.Get("Content-Encoding") != "") || j.headSent && (!success || !isEventStream(r.Header)) {
+	if r.Unproven || promisesNotRun(r.Status) || success && (!r.Stamped || r.Header.Get("Content-Encoding") != "") || j.headSent && (!success || !isEventStream(r.Header)) {
 		j.trail.Add("answer-odd", "server", place.Server.ID, "status", r.Status, "genuine", r.Stamped)
 		return pool.EndFailed, onFailure, sequoialead.ReasonBackend
 	}
@@ -223,6 +223,16 @@
 	return end, actionDone, ""
 }
 
+// promisesNotRun reports whether callers take a status as a promise that the request was not
+// run and will not be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // discard reads the rest of an answer, so that its connection can be used again. If
 // the answer does not end soon, its connection is closed instead.
 func discard(body sequoialead.BodyReader) {
--- a/io/http1/do.go
+++ b/io/http1/do.go
@@ -53,6 +53,9 @@
 	// CloseDelimited is set if the body has neither a Content-Length nor a transfer
 	// encoding, so that it ends with its connection.
 	CloseDelimited bool
+	// Reused is set if the connection had carried an earlier response, of which a faulty
+	// peer may have sent a second copy.
+	Reused bool
 
 	client *Client
 	conn   *conn
@@ -172,7 +175,7 @@
 		k.applyKeepAlive(raw.Header)
 		return &Response{
 			Status: raw.StatusCode, Header: raw.Header, ContentLength: raw.ContentLength,
-			CloseDelimited: !framed, conn: k, body: raw.Body, keepAlive: framed && !raw.Close,
+			CloseDelimited: !framed, Reused: k.used, conn: k, body: raw.Body, keepAlive: framed && !raw.Close,
 		}, nil
 	}
 	return nil, errors.New("received only responses to other requests")
--- a/proxy.go
+++ b/proxy.go
@@ -122,6 +122,9 @@
 	// Misdirected is set if the address now belongs to another backend server,
 	// which did not run the request.
 	Misdirected bool
+	// Unproven is set if the answer states that the request was not run, but may be a
+	// second copy of the answer to an earlier request.
+	Unproven bool
 	// Stamped is set if the answer has the stamp header that only the backend
 	// server itself adds. A successful answer without it is treated as a failure.
 	Stamped bool
