--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -97,6 +97,11 @@
 }
 
 func (s *store) Put(_ context.Context, topic sequoialead.Topic, key string, value []byte) error {
+	down := false
+	s.set(func() { down = s.down })
+	if down {
+		return sequoialead.ErrPlatform.New("down")
+	}
 	s.put(topic, key, string(value))
 	return nil
 }
