availability, pool, forward, batch, platform: Heed what backend servers say of themselves

A server that leaves says so in all its answers, and one that turns a request away may say for how long it wants nothing. Neither was read: entries went on sending until the store's record said it, and to a full server at once again.

core/availability decides whether a server may be sent to now: leaving or held off by its own word, unreachable, cold. These checks came from core/pool and have one home; every sender asks there (first attempts, retries, resumed and waiting requests, calls for pieces, calls that free results). What counts against a server is held against its process, and outlives its absence from the list. Where all want nothing, a request is refused at once with the time of the first one that is ready, spread over a second, or waits if that comes soon enough; after a hold the number of requests in flight rises over a second. New setting hold bounds such a time (5 min).

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -42,6 +42,7 @@
 	window  time.Duration
 	over    float64
 	slack   float64
+	hold    time.Duration
 	level   int
 }
 
@@ -59,6 +60,7 @@
 	defaultRetryExtra     = 20
 	defaultRetryWindow    = 10 * time.Second
 	defaultColdOver       = 1.0
+	defaultGatewayHold    = 5 * time.Minute
 )
 
 func (s *gatewaySettings) bind(flags *flag.FlagSet) {
@@ -83,6 +85,7 @@
 	flags.DurationVar(&s.window, "window", defaultRetryWindow, "the sliding time window in which requests and retries are counted, such as 10s")
 	flags.Float64Var(&s.over, "over", defaultColdOver, "the factor on the configured request rate of a cold backend server, such as 1.5")
 	flags.Float64Var(&s.slack, "slack", 0, "the requests per second that a cold backend server may get in addition, such as 5")
+	flags.DurationVar(&s.hold, "hold", defaultGatewayHold, "the longest time for which a backend server that wants no requests for a while gets none, such as 5m")
 	flags.IntVar(&s.level, "level", 0, "the verbosity of the log, from 0")
 }
 
@@ -100,7 +103,7 @@
 		Revoke: s.revoke,
 		Limits: pool.Limits{
 			Retries:    retries.Options{Ratio: s.ratio, Extra: s.extra, Window: s.window},
-			ColdFactor: s.over, ColdSlack: s.slack,
+			ColdFactor: s.over, ColdSlack: s.slack, MaxHold: s.hold,
 		},
 	}
 }
--- a/commands/metrics.go
+++ b/commands/metrics.go
@@ -93,5 +93,8 @@
 		set.GetOrCreateCounter("sequoialead_pool_servers" + label).Set(uint64(p.Servers))
 		set.GetOrCreateCounter("sequoialead_pool_open" + label).Set(uint64(p.InFlight))
 		set.GetOrCreateFloatCounter("sequoialead_pool_retries_left" + label).Set(p.Retries)
+		for cause, n := range p.Held {
+			set.GetOrCreateCounter(fmt.Sprintf("sequoialead_pool_held{pool=%q,cause=%q}", name, cause)).Set(uint64(n))
+		}
 	}
 }
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -38,6 +38,12 @@
 	// Release releases a place and records how its request ended, and the load that
 	// the backend server reported; nil if it reported none.
 	Release(name string, place *pool.Place, end pool.End, load *sequoialead.ServerLoad)
+	// RecordNotice records what a backend server said of itself, given its ID and that of
+	// a request that the answer was for; empty if there is none.
+	RecordNotice(server, request string, notice sequoialead.ServerNotice)
+	// FreeDelay returns how long a call that frees results at a backend server has to
+	// wait. It reports false if no such call may be sent any more.
+	FreeDelay(server string) (time.Duration, bool)
 	// CountOrder counts an order for a pool, which adds to the pool's retry budget.
 	CountOrder(name string)
 	// TakeRetry takes one retry from a pool's retry budget, and reports whether
--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -30,10 +30,10 @@
 	configured := configuredCallTime(c.conf.Pieces, len(c.batch))
 	ctx, cancel := context.WithTimeout(b.tomb.Context(context.Background()), timeoutFactor*configured+transferAllowance)
 	defer cancel()
-	results, load, err := b.opts.Maker.Make(ctx, c.place.Server, pieces)
+	results, said, err := b.opts.Maker.Make(ctx, c.place.Server, pieces)
 	end := pool.EndDone
 	switch {
-	case errorx.IsOfType(err, sequoialead.ErrUnsent) && load == nil:
+	case errorx.IsOfType(err, sequoialead.ErrUnsent) && said.Load == nil && said.Notice.HoldOff == 0:
 		end = pool.EndUnreachable
 	case errorx.IsOfType(err, sequoialead.ErrUnsent):
 		end = pool.EndRefused
@@ -42,10 +42,11 @@
 	default:
 		b.opts.Pools.RecordFirstByte(c.q.name, c.place)
 	}
-	b.opts.Pools.Release(c.q.name, c.place, end, load)
+	b.opts.Pools.RecordNotice(c.place.Server.ID, c.batch[0].piece.Request, said.Notice)
+	b.opts.Pools.Release(c.q.name, c.place, end, said.Load)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.settle(c, results, load, err, b.opts.Now().Sub(now))
+	b.settle(c, results, said.Load, err, b.opts.Now().Sub(now))
 }
 
 // settle completes, fails or requeues the pieces of a finished call.
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -160,16 +160,20 @@
 	finish  chan struct{}
 }
 
-func (p *blockingMaker) Make(_ context.Context, _ sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, *sequoialead.ServerLoad, error) {
+func (p *blockingMaker) Make(_ context.Context, _ sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, sequoialead.ServerFeedback, error) {
 	close(p.started)
 	<-p.finish
 	results := make([]sequoialead.PieceResult, len(pieces))
 	for i := range results {
 		results[i].Handle = "h"
 	}
-	return results, nil, nil
+	return results, sequoialead.ServerFeedback{}, nil
 }
-func (p *blockingMaker) Free(context.Context, sequoialead.Server, []string) error { return nil }
+func (p *blockingMaker) Free(context.Context, sequoialead.Server, []string) (sequoialead.ServerFeedback, error) {
+	return sequoialead.ServerFeedback{}, nil
+}
+func (p *blockingMaker) RecordNotice(string, string, sequoialead.ServerNotice) {}
+func (p *blockingMaker) FreeDelay(string) (time.Duration, bool)                { return 0, true }
 func (p *blockingMaker) Conf(string) *proxyconfig.Pool {
 	return &proxyconfig.Pool{Pieces: &proxyconfig.PieceLimits{MaxBatch: 4, RoomBytes: 100, CallTime: time.Minute}}
 }
--- a/core/batch/retry_test.go
+++ b/core/batch/retry_test.go
@@ -26,7 +26,7 @@
 	retriesPerOrder int
 }
 
-func (f *flakyMaker) Make(_ context.Context, server sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, *sequoialead.ServerLoad, error) {
+func (f *flakyMaker) Make(_ context.Context, server sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, sequoialead.ServerFeedback, error) {
 	f.calls = append(f.calls, server.ID)
 	results := make([]sequoialead.PieceResult, len(pieces))
 	for i := range results {
@@ -36,9 +36,13 @@
 			results[i].Handle = "h"
 		}
 	}
-	return results, nil, nil
+	return results, sequoialead.ServerFeedback{}, nil
 }
-func (f *flakyMaker) Free(context.Context, sequoialead.Server, []string) error { return nil }
+func (f *flakyMaker) Free(context.Context, sequoialead.Server, []string) (sequoialead.ServerFeedback, error) {
+	return sequoialead.ServerFeedback{}, nil
+}
+func (f *flakyMaker) RecordNotice(string, string, sequoialead.ServerNotice) {}
+func (f *flakyMaker) FreeDelay(string) (time.Duration, bool)                { return 0, true }
 func (f *flakyMaker) Conf(string) *proxyconfig.Pool {
 	return &proxyconfig.Pool{Pieces: &proxyconfig.PieceLimits{MaxBatch: 4, RoomBytes: 100, CallTime: time.Minute}}
 }
--- a/core/batch/rooms.go
+++ b/core/batch/rooms.go
@@ -125,6 +125,10 @@
 			b.rooms.addToFree(r)
 		}
 	}
+	b.signalFree()
+}
+
+func (b *Batcher) signalFree() {
 	select {
 	case b.freeSignal <- struct{}{}:
 	default:
@@ -158,11 +162,17 @@
 // until the call has ended, since a new call that overtakes this one would find
 // no room. If the call fails, the backend server frees the results itself after their
 // retention time.
+//
+// A server that wants nothing for a while gets the call afterwards, and one that is leaving
+// none: its results go with it.
 func (b *Batcher) freeHandles(r *pendingFree) {
-	ctx, cancel := context.WithTimeout(b.tomb.Context(context.Background()), freeTimeout)
-	defer cancel()
-	if err := b.opts.Maker.Free(ctx, r.server, r.handles); err != nil {
-		b.opts.Log.V(1).Info("free-failed", "server", r.server.ID, "handles", len(r.handles), "err", err)
+	wait, allowed := b.opts.Pools.FreeDelay(r.server.ID)
+	if allowed && wait > 0 {
+		time.AfterFunc(wait, func() { b.freeLater(r) })
+		return
+	}
+	if allowed {
+		b.callFree(r)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -171,3 +181,26 @@
 		b.dispatch(q)
 	}
 }
+
+// freeLater adds results to those to be freed again.
+func (b *Batcher) freeLater(r *pendingFree) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if other := b.rooms.toFree[r.server.ID]; other != nil {
+		other.handles = append(other.handles, r.handles...)
+		other.bytes += r.bytes
+	} else {
+		b.rooms.toFree[r.server.ID] = r
+	}
+	b.signalFree()
+}
+
+func (b *Batcher) callFree(r *pendingFree) {
+	ctx, cancel := context.WithTimeout(b.tomb.Context(context.Background()), freeTimeout)
+	defer cancel()
+	said, err := b.opts.Maker.Free(ctx, r.server, r.handles)
+	if err != nil {
+		b.opts.Log.V(1).Info("free-failed", "server", r.server.ID, "handles", len(r.handles), "err", err)
+	}
+	b.opts.Pools.RecordNotice(r.server.ID, "", said.Notice)
+}
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -54,9 +54,11 @@
 	}
 	return &pool.Place{Server: sequoialead.Server{ID: "s"}, Led: true}, ""
 }
+func (s *fakeSystem) RecordNotice(string, string, sequoialead.ServerNotice)          {}
+func (s *fakeSystem) FreeDelay(string) (time.Duration, bool)                         { return 0, true }
 func (s *fakeSystem) Release(string, *pool.Place, pool.End, *sequoialead.ServerLoad) {}
 
-func (s *fakeSystem) Make(_ context.Context, _ sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, *sequoialead.ServerLoad, error) {
+func (s *fakeSystem) Make(_ context.Context, _ sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, sequoialead.ServerFeedback, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.madeLocally += len(pieces)
@@ -64,14 +66,14 @@
 	for i, p := range pieces {
 		results[i].Handle = fmt.Sprintf("here-%d", p.Number)
 	}
-	return results, nil, nil
+	return results, sequoialead.ServerFeedback{}, nil
 }
 
-func (s *fakeSystem) Free(_ context.Context, _ sequoialead.Server, handles []string) error {
+func (s *fakeSystem) Free(_ context.Context, _ sequoialead.Server, handles []string) (sequoialead.ServerFeedback, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.freed = append(s.freed, handles...)
-	return nil
+	return sequoialead.ServerFeedback{}, nil
 }
 
 func (s *fakeSystem) SetEntries([]membership.Member) {}
--- a/core/forward/admit.go
+++ b/core/forward/admit.go
@@ -31,6 +31,9 @@
 	// holds their IDs, and those of servers that could not be reached.
 	attempts int
 	tried    map[string]bool
+	// readyAt is when a backend server wants requests again, if the request is refused
+	// because none does now.
+	readyAt time.Time
 	// firstByte is the time from the request's arrival to the first byte of an answer.
 	firstByte time.Duration
 	// headSent is set once the head of an answer was sent to the caller.
@@ -51,6 +54,9 @@
 	// leavingRetryAfter is the hint to callers of an entry that is leaving; they
 	// can retry at another entry.
 	leavingRetryAfter = 20 * time.Millisecond
+	// heldSpread is the time over which callers are told to return after a backend server
+	// wants requests again.
+	heldSpread = time.Second
 	// maxRetryAfter is the upper bound of the hint.
 	maxRetryAfter = 2 * time.Second
 	// leaseTimeout is how long a request waits for a read of the store to renew an
@@ -162,6 +168,19 @@
 	}
 }
 
+// refuseHeld returns the result for a request that is refused because no backend server
+// wants requests now. The hints spread the callers over some time after the first one does.
+func (f *Forwarder) refuseHeld(j *job) Result {
+	result := j.refusal(sequoialead.ReasonHeld)
+	if result.Status != http.StatusServiceUnavailable || j.readyAt.IsZero() {
+		return result
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	result.RetryAfter = j.readyAt.Sub(f.opts.Now()) + time.Duration(f.opts.Random.Int64N(int64(heldSpread)))
+	return result
+}
+
 // timeoutResult returns the result for a request whose deadline has passed.
 func (f *Forwarder) timeoutResult(j *job) Result {
 	switch {
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -47,10 +47,14 @@
 	callsToLose int
 	// onMake is called at the start of each Make; it may be nil.
 	onMake func()
+	// notices holds what each server says in all its answers. arrivals counts by server and
+	// kind of sender what reached it.
+	notices  map[string]sequoialead.ServerNotice
+	arrivals map[string]int
 }
 
 func newFakePlatform() *fakePlatform {
-	w := &fakePlatform{now: time.Unix(1000, 0), lease: lease.New()}
+	w := &fakePlatform{now: time.Unix(1000, 0), lease: lease.New(), arrivals: map[string]int{}}
 	w.lease.Renew(w.now)
 	w.config = &proxyconfig.Config{
 		Version:   1,
@@ -102,12 +106,13 @@
 func (w *fakePlatform) Exchange(ctx context.Context, attempt sequoialead.ProxyAttempt) (*sequoialead.Response, error) {
 	w.mu.Lock()
 	w.attempts = append(w.attempts, attempt)
+	w.arrivals["send "+attempt.Server.ID]++
 	step := "done"
 	if len(w.script) > 0 {
 		step, w.script = w.script[0], w.script[1:]
 	}
 	w.mu.Unlock()
-	r := &sequoialead.Response{Status: http.StatusOK, Header: http.Header{}, Stamped: true, Body: &fakeBody{err: io.EOF}}
+	r := &sequoialead.Response{Status: http.StatusOK, Header: http.Header{}, Stamped: true, Body: &fakeBody{err: io.EOF}, Notice: w.notices[attempt.Server.ID]}
 	lost := sequoialead.ErrLost.New("lost")
 	switch step {
 	case "done":
@@ -179,30 +184,36 @@
 }
 
 // Make makes pieces, unless the call is to be lost.
-func (w *fakePlatform) Make(_ context.Context, server sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, *sequoialead.ServerLoad, error) {
+func (w *fakePlatform) Make(_ context.Context, server sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, sequoialead.ServerFeedback, error) {
 	if w.onMake != nil {
 		w.onMake()
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.arrivals["make "+server.ID]++
+	said := sequoialead.ServerFeedback{Notice: w.notices[server.ID]}
+	if said.Notice.HoldOff > 0 {
+		return nil, said, sequoialead.ErrUnsent.New("refused")
+	}
 	if w.callsToLose > 0 {
 		w.callsToLose--
-		return nil, nil, sequoialead.ErrLost.New("lost")
+		return nil, sequoialead.ServerFeedback{}, sequoialead.ErrLost.New("lost")
 	}
 	results := make([]sequoialead.PieceResult, len(pieces))
 	for i, p := range pieces {
 		w.made = append(w.made, p)
 		results[i].Handle = fmt.Sprintf("%s/%s-%d-%d-%d", server.ID, p.Request, p.Stage, p.Number, len(w.made))
 	}
-	return results, nil, nil
+	return results, said, nil
 }
 
 // Free counts the results that are freed.
-func (w *fakePlatform) Free(_ context.Context, _ sequoialead.Server, handles []string) error {
+func (w *fakePlatform) Free(_ context.Context, server sequoialead.Server, handles []string) (sequoialead.ServerFeedback, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.freedCount += len(handles)
-	return nil
+	w.arrivals["free "+server.ID]++
+	return sequoialead.ServerFeedback{Notice: w.notices[server.ID]}, nil
 }
 
 // noSiblings stands for an entry that can reach no other entry.
@@ -230,11 +241,20 @@
 
 // newForwarderTo returns a forwarder that sends requests through the given exchanger.
 func (w *fakePlatform) newForwarderTo(t *testing.T, exchanger sequoialead.Exchanger) *forward.Forwarder {
+	return w.newForwarderWith(t, exchanger, func() time.Time { return w.now })
+}
+
+// newForwarderOnClock returns a forwarder that goes by the given clock.
+func (w *fakePlatform) newForwarderOnClock(t *testing.T, now func() time.Time) *forward.Forwarder {
+	return w.newForwarderWith(t, w, now)
+}
+
+func (w *fakePlatform) newForwarderWith(t *testing.T, exchanger sequoialead.Exchanger, now func() time.Time) *forward.Forwarder {
 	f := forward.New(forward.Options{
-		Knowledge: w, Exchanger: exchanger, Maker: w, Siblings: noSiblings{}, Quarantine: newQuarantine(func() time.Time { return w.now }), Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: func() time.Time { return w.now },
+		Knowledge: w, Exchanger: exchanger, Maker: w, Siblings: noSiblings{}, Quarantine: newQuarantine(now), Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: now,
 		Random: rand.New(rand.NewPCG(1, 1)), Entry: "e", Domain: "a",
 		Limits: forward.Limits{Revoke: 5 * time.Second, Limits: pool.Limits{
-			Retries: retries.Options{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
+			Retries: retries.Options{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5, MaxHold: time.Minute,
 		}},
 		DrainNotice: 2 * time.Second,
 	})
--- a/core/forward/metrics.go
+++ b/core/forward/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sequoialead"
+	"sequoialead/core/availability"
 	"sequoialead/core/proxyconfig"
 )
 
@@ -55,6 +56,9 @@
 	Servers int
 	// InFlight is the number of requests of this entry in flight.
 	InFlight int
+	// Held is the number of backend servers that get nothing because of what they said
+	// themselves, by cause.
+	Held map[availability.Cause]int
 	// Retries is the number of retries left in this entry's part of the budget.
 	Retries float64
 }
@@ -67,7 +71,7 @@
 	stats := make(map[string]PoolStats, len(f.pools))
 	for name, p := range f.pools {
 		servers, inFlight := p.Load()
-		stats[name] = PoolStats{Servers: servers, InFlight: inFlight, Retries: p.Retries().Remaining(now, f.entries)}
+		stats[name] = PoolStats{Servers: servers, InFlight: inFlight, Retries: p.Retries().Remaining(now, f.entries), Held: p.Held(now)}
 	}
 	return stats
 }
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -67,6 +67,9 @@
 			j.trail.Add("wait", "pool", j.pool, "reason", reason, "until", until.Sub(now))
 			recorded = true
 		}
+		if reason == sequoialead.ReasonHeld && j.heldPast(f.readyAt(j, request), until) {
+			return nil, reason
+		}
 		exhausted := reason == sequoialead.ReasonNone && len(j.tried) > 0
 		if exhausted || !now.Before(until) {
 			return nil, reason
@@ -77,6 +80,24 @@
 	}
 }
 
+// readyAt returns when the first backend server that wants nothing now may be sent to.
+func (f *Forwarder) readyAt(j *job, request pool.Request) time.Time {
+	now := f.opts.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pool(j.pool).ReadyAt(request, now)
+}
+
+// heldPast reports whether no backend server is ready by the time until which the request
+// may wait, and keeps when the first one is for the caller.
+func (j *job) heldPast(ready, until time.Time) bool {
+	if ready.IsZero() || ready.Before(until) {
+		return false
+	}
+	j.readyAt = ready
+	return true
+}
+
 // othersFirst reports whether requests at least as urgent are already waiting for
 // the pool. f.mu must be held.
 func (f *Forwarder) othersFirst(j *job) bool {
@@ -117,6 +138,29 @@
 	}
 }
 
+// recordNotice records what a backend server said of itself in the answer to a request.
+func (f *Forwarder) recordNotice(j *job, place *pool.Place, notice sequoialead.ServerNotice) {
+	if notice == (sequoialead.ServerNotice{}) {
+		return
+	}
+	now := f.opts.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.pool(j.pool).RecordNotice(place, notice, now)
+	f.logNotice(place.Server.ID, j.request.ID, notice, changed)
+}
+
+// logNotice logs what a backend server said of itself if this entry did not know, and what
+// it could not understand.
+func (f *Forwarder) logNotice(server, request string, notice sequoialead.ServerNotice, changed bool) {
+	if changed {
+		f.opts.Log.Info("server-notice", "server", server, "leaving", notice.Leaving, "hold", notice.HoldOff, "id", request)
+	}
+	if notice.Invalid != "" {
+		f.opts.Log.V(1).Info("server-notice-invalid", "server", server, "header", notice.Invalid, "id", request)
+	}
+}
+
 // releasePlace releases a place and records how the attempt ended.
 func (f *Forwarder) releasePlace(j *job, place *pool.Place, end pool.End, load *sequoialead.ServerLoad) {
 	now := f.opts.Now()
@@ -206,6 +250,37 @@
 	s.f.pool(name).Release(place, end, load, now)
 }
 
+// RecordNotice records what a backend server said of itself.
+func (s poolAccess) RecordNotice(server, request string, notice sequoialead.ServerNotice) {
+	if notice == (sequoialead.ServerNotice{}) {
+		return
+	}
+	now := s.f.opts.Now()
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	changed := false
+	for _, p := range s.f.pools {
+		if state := p.Find(server); state != nil {
+			changed = state.RecordNotice(notice, p.MaxHold(), now) || changed
+		}
+	}
+	s.f.logNotice(server, request, notice, changed)
+}
+
+// FreeDelay returns how long a call that frees results at a backend server has to wait. It
+// reports false if no such call may be sent any more.
+func (s poolAccess) FreeDelay(server string) (time.Duration, bool) {
+	now := s.f.opts.Now()
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	for _, p := range s.f.pools {
+		if state := p.Find(server); state != nil {
+			return max(state.HeldUntil().Sub(now), 0), !state.Leaving()
+		}
+	}
+	return 0, true
+}
+
 // CountOrder counts an order for a pool, which adds to its retry budget.
 func (s poolAccess) CountOrder(name string) {
 	now := s.f.opts.Now()
--- a/core/forward/replay_test.go
+++ b/core/forward/replay_test.go
@@ -95,7 +95,7 @@
 	return &sequoialead.Response{Status: http.StatusOK, Header: http.Header{}, Stamped: true, Body: &fakeBody{parts: events("", 1), err: io.EOF}}, nil
 }
 
-func (m *loadModel) Make(_ context.Context, server sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, *sequoialead.ServerLoad, error) {
+func (m *loadModel) Make(_ context.Context, server sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, sequoialead.ServerFeedback, error) {
 	m.turns[server.ID] <- struct{}{}
 	defer func() { <-m.turns[server.ID] }()
 	limits := m.config.Pools[server.Pool].Pieces
@@ -116,10 +116,10 @@
 	}
 	m.mu.Unlock()
 	time.Sleep(limits.CallTime + time.Duration(count)*limits.ItemTime)
-	return results, &sequoialead.ServerLoad{Slots: 1}, nil
+	return results, sequoialead.ServerFeedback{Load: &sequoialead.ServerLoad{Slots: 1}}, nil
 }
 
-func (m *loadModel) Free(_ context.Context, server sequoialead.Server, handles []string) error {
+func (m *loadModel) Free(_ context.Context, server sequoialead.Server, handles []string) (sequoialead.ServerFeedback, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range handles {
@@ -128,7 +128,7 @@
 		m.holding[r.kind] = append(m.holding[r.kind], time.Since(r.since))
 		delete(m.results, h)
 	}
-	return nil
+	return sequoialead.ServerFeedback{}, nil
 }
 
 // arrivals is one kind of request of a load pattern.
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -78,6 +78,9 @@
 			}
 			return f.timeoutResult(j)
 		}
+		if place == nil && reason == sequoialead.ReasonHeld {
+			return f.refuseHeld(j)
+		}
 		if place == nil {
 			return j.refusal(reason)
 		}
@@ -124,6 +127,7 @@
 	if err != nil {
 		return f.handleError(ctx, j, place, err)
 	}
+	f.recordNotice(j, place, response.Notice)
 	defer func() { _ = response.Body.Close() }() // a body that was read completely is already closed
 	if response.NotRun || response.Misdirected {
 		return actionRetry, f.handleRefusal(j, place, response)
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sequoialead"
+	"sequoialead/core/availability"
 )
 
 // End is the result of the request that used a place.
@@ -64,7 +65,7 @@
 		m.latency = took
 	}
 	m.latency += smoothing * (took - m.latency)
-	m.unreachableUntil, m.backoff = time.Time{}, 0
+	m.state.RecordReached()
 }
 
 // Release releases a place and records how its request ended. The load is nil if the
@@ -85,15 +86,13 @@
 	switch end {
 	case EndDone:
 		m.failureRate -= smoothing * m.failureRate
-		m.unreachableUntil, m.backoff = time.Time{}, 0
+		m.state.RecordReached()
 	case EndFailed:
 		m.failureRate += smoothing * (1 - m.failureRate)
-		m.markCold(now.Add(coldPeriod))
+		m.state.MarkCold(now.Add(availability.ColdPeriod))
 	case EndUnreachable:
 		m.failureRate += smoothing * (1 - m.failureRate)
-		m.backoff = min(max(2*m.backoff, minBackoff), maxBackoff)
-		m.unreachableUntil = now.Add(m.backoff)
-		m.markCold(now.Add(coldPeriod))
+		m.state.RecordUnreachable(now)
 	case EndRefused, EndAbandoned:
 	}
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sequoialead"
-	"sequoialead/core/cold"
+	"sequoialead/core/availability"
 	"sequoialead/core/prefixcache"
 	"sequoialead/core/proxyconfig"
 	"sequoialead/core/retries"
@@ -35,6 +35,9 @@
 	// entries together may send ColdRate*ColdFactor+ColdSlack requests per second.
 	ColdFactor float64
 	ColdSlack  float64
+	// MaxHold is the longest time for which a backend server that wants nothing gets
+	// nothing.
+	MaxHold time.Duration
 }
 
 // Request describes a request to be placed.
@@ -78,20 +81,14 @@
 	// pendingTokens is the number of prompt tokens of the requests in flight whose
 	// answers have not started.
 	pendingTokens int
-	cold          *cold.Limiter
-	// coldUntil is the time until which the backend server is assumed to be cold: it
-	// is new, its record says so, or it failed in a way that may mean a restart.
-	coldUntil time.Time
-	cache     *prefixcache.Cache
+	// state is what counts against the server's process. It outlives the member.
+	state *availability.Server
+	cache *prefixcache.Cache
 	// failureRate is a moving average of failures, from 0 to 1.
 	failureRate float64
 	// latency is a moving average of the time to the first byte, in seconds; 0 if
 	// unknown.
 	latency float64
-	// unreachableUntil is when a backend server that could not be reached may be
-	// tried again; zero if it can be reached. backoff is the current delay.
-	unreachableUntil time.Time
-	backoff          time.Duration
 	// load is the load that the backend server last reported, and loadAt when.
 	load   sequoialead.ServerLoad
 	loadAt time.Time
@@ -106,7 +103,9 @@
 	opts    Options
 	conf    *proxyconfig.Pool
 	members []*member
-	entries int
+	// register holds what counts against the backend servers' processes.
+	register *availability.Register
+	entries  int
 	// recordsRead is when the records of the backend servers were last read.
 	recordsRead time.Time
 	// led holds the IDs of the backend servers that this entry leads.
@@ -122,10 +121,6 @@
 const (
 	// smoothing is the weight of the newest observation in a moving average.
 	smoothing = 0.2
-	// minBackoff and maxBackoff limit the delay after which an unreachable backend
-	// server is tried again.
-	minBackoff = 500 * time.Millisecond
-	maxBackoff = 4 * time.Second
 	// loadMaxAge is the age up to which a load report is used.
 	loadMaxAge = time.Second
 	// failurePenalty is the cost of a backend server that always fails, as a multiple
@@ -155,7 +150,7 @@
 
 // New returns a pool without backend servers.
 func New(opts Options) *Pool {
-	return &Pool{opts: opts, conf: &proxyconfig.Pool{Name: opts.Name}, entries: 1, budget: retries.New(opts.Limits.Retries)}
+	return &Pool{opts: opts, conf: &proxyconfig.Pool{Name: opts.Name}, register: availability.New(), entries: 1, budget: retries.New(opts.Limits.Retries)}
 }
 
 // Configure applies new limits.
@@ -223,17 +218,17 @@
 		m := old[e.Server.ID]
 		if m == nil || !m.Server.StartedAt.Equal(e.Server.StartedAt) || m.Server.Addr != e.Server.Addr {
 			replacement := &member{
-				cold: cold.New(), coldUntil: now.Add(coldPeriod), cache: prefixcache.New(p.conf.MemoryTokens), hash: xxhash.Sum64String(e.Server.ID),
-			}
-			if m != nil {
-				replacement.cold = m.cold // the rate limit applies across a restart
+				state: p.register.Get(e.Server, now), cache: prefixcache.New(p.conf.MemoryTokens), hash: xxhash.Sum64String(e.Server.ID),
 			}
+			replacement.state.MarkCold(now.Add(availability.ColdPeriod))
 			m = replacement
 		}
 		m.Member = e
-		m.markCold(e.ReadAt.Add(e.Server.ColdLeft))
+		p.register.Get(e.Server, now)
+		m.state.MarkCold(e.ReadAt.Add(e.Server.ColdLeft))
 		p.members = append(p.members, m)
 	}
+	p.register.Prune(now)
 	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
 }
 
@@ -252,10 +247,7 @@
 	}
 	best.inFlight++
 	best.sentSince++
-	best.cold.Record(now)
-	if !best.unreachableUntil.IsZero() {
-		best.unreachableUntil = now.Add(best.backoff) // only one request at a time tries an unreachable server
-	}
+	best.state.RecordSent(now)
 	return place, ""
 }
 
@@ -266,21 +258,27 @@
 	var best *member
 	bestCost := 0.0
 	domain := cmp.Or(request.Domain, p.opts.Domain)
-	allDown := p.allUnreachable(now)
+	limits := p.limits(now)
 	for _, m := range p.members {
 		if request.Exclude[m.Server.ID] || request.HasCapacity != nil && !request.HasCapacity(m.Server, p.led[m.Server.ID]) {
 			continue
 		}
-		if now.Before(m.unreachableUntil) && !allDown {
+		switch m.state.Check(now, limits) {
+		case availability.CauseLeaving, availability.CauseUnreachable:
 			continue
-		}
-		if m.inFlight >= p.maxInFlight(m) {
-			reason = sequoialead.ReasonFull
+		case availability.CauseHeld:
+			if reason == sequoialead.ReasonNone {
+				reason = sequoialead.ReasonHeld
+			}
 			continue
-		}
-		if !p.withinColdRate(m, now) {
+		case availability.CauseCold:
 			reason = sequoialead.ReasonCold
 			continue
+		case availability.CauseNone:
+		}
+		if m.inFlight >= p.maxInFlight(m, now) {
+			reason = sequoialead.ReasonFull
+			continue
 		}
 		cost := p.cost(m, request, home, domain, now)
 		if best == nil || cost < bestCost {
@@ -290,59 +288,93 @@
 	return best, reason
 }
 
-// allUnreachable reports whether every backend server is in its backoff delay.
+// limits returns the limits by which backend servers are checked.
+func (p *Pool) limits(now time.Time) availability.Limits {
+	return availability.Limits{
+		ColdRate:          p.coldRate(),
+		Current:           now.Sub(p.recordsRead) < availability.ColdPeriod,
+		IgnoreUnreachable: p.allUnreachable(now),
+	}
+}
+
+// coldRate returns this entry's part of the request rate that a cold backend server bears;
+// 0 for no limit.
+func (p *Pool) coldRate() float64 {
+	if p.conf.ColdRate <= 0 {
+		return 0
+	}
+	return (p.conf.ColdRate*p.opts.Limits.ColdFactor + p.opts.Limits.ColdSlack) * coldLimitShare / float64(p.entries)
+}
+
+// allUnreachable reports whether no backend server that may be sent to can be reached.
 func (p *Pool) allUnreachable(now time.Time) bool {
 	for _, m := range p.members {
-		if !now.Before(m.unreachableUntil) {
+		if !m.state.Leaving() && !now.Before(m.state.HeldUntil()) && !m.state.Unreachable(now) {
 			return false
 		}
 	}
 	return true
 }
 
-// maxInFlight returns how many requests this entry may have in flight at a backend
-// server.
-func (p *Pool) maxInFlight(m *member) int {
-	limit := max(m.Server.Slots, p.conf.Slots, 1)
-	if p.conf.MaxConns > 0 {
-		limit = min(limit, max(p.conf.MaxConns/p.entries, 1))
+// ReadyAt returns when the first of the backend servers that want nothing now may be sent to
+// again; zero if there is none.
+func (p *Pool) ReadyAt(request Request, now time.Time) time.Time {
+	var first time.Time
+	for _, m := range p.members {
+		until := m.state.HeldUntil()
+		if m.state.Leaving() || !now.Before(until) || request.Exclude[m.Server.ID] {
+			continue
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
 	}
-	return limit
+	return first
 }
 
-// withinColdRate reports whether one more request keeps within the rate limit for
-// backend servers that may be cold. The limit applies to warm servers too, because a
-// server may restart unnoticed. A server known to be warm may get short bursts,
-// since prompts that are assigned to one server arrive together. Over a longer time
-// each entry keeps to its part of the limit.
-func (p *Pool) withinColdRate(m *member, now time.Time) bool {
-	if p.conf.ColdRate <= 0 {
-		return true
-	}
-	rate := (p.conf.ColdRate*p.opts.Limits.ColdFactor + p.opts.Limits.ColdSlack) * coldLimitShare / float64(p.entries)
-	burst := 1
-	if now.After(m.coldUntil) && now.Sub(p.recordsRead) < coldPeriod {
-		burst = warmBurst
-	}
-	return m.cold.Allow(now, rate, burst)
+// RecordNotice records what a backend server said of itself in an answer to the request at
+// a place. It reports whether this entry did not know.
+func (p *Pool) RecordNotice(place *Place, notice sequoialead.ServerNotice, now time.Time) bool {
+	return place.member.state.RecordNotice(notice, p.opts.Limits.MaxHold, now)
 }
 
-// markCold extends the time for which the backend server is assumed to be cold.
-func (m *member) markCold(until time.Time) {
-	if until.After(m.coldUntil) {
-		m.coldUntil = until
+// Find returns what counts against the present process of a backend server; nil if it is
+// not listed.
+func (p *Pool) Find(id string) *availability.Server {
+	i, ok := slices.BinarySearchFunc(p.members, id, func(m *member, id string) int { return cmp.Compare(m.Server.ID, id) })
+	if !ok {
+		return nil
 	}
+	return p.members[i].state
 }
 
-// warmBurst is the number of requests that an entry may send at once to a backend
-// server known to be warm: prompts assigned to one server often arrive two or three
-// at a time, and it is rare that all entries send a burst at the same moment.
-const warmBurst = 3
+// MaxHold returns the longest time for which a backend server may be held off.
+func (p *Pool) MaxHold() time.Duration { return p.opts.Limits.MaxHold }
+
+// Held returns the number of backend servers that nothing may be sent to because of what they
+// said, by cause.
+func (p *Pool) Held(now time.Time) map[availability.Cause]int {
+	counts := map[availability.Cause]int{availability.CauseLeaving: 0, availability.CauseHeld: 0}
+	for _, m := range p.members {
+		switch {
+		case m.state.Leaving():
+			counts[availability.CauseLeaving]++
+		case now.Before(m.state.HeldUntil()):
+			counts[availability.CauseHeld]++
+		}
+	}
+	return counts
+}
 
-// coldPeriod is how long a backend server is assumed to be cold after it was first
-// seen or failed in a way that may mean a restart. It is longer than a heartbeat
-// interval, the write of the heartbeat to the store and the read of it together.
-const coldPeriod = 5 * time.Second
+// maxInFlight returns how many requests this entry may have in flight at a backend
+// server.
+func (p *Pool) maxInFlight(m *member, now time.Time) int {
+	limit := max(m.Server.Slots, p.conf.Slots, 1)
+	if p.conf.MaxConns > 0 {
+		limit = min(limit, max(p.conf.MaxConns/p.entries, 1))
+	}
+	return m.state.Capacity(limit, now)
+}
 
 // coldLimitShare is the part of the shared limit that the known entries use. The rest
 // is reserved for entries that have started and are not yet known to the others.
--- a/proxy.go
+++ b/proxy.go
@@ -111,6 +111,24 @@
 	Slots   int
 }
 
+// ServerNotice is what a backend server says of itself in an answer.
+type ServerNotice struct {
+	// Leaving is set if the server is leaving, and should get nothing more.
+	Leaving bool
+	// HoldOff is how long the server wants nothing from this entry; zero if it doesn't
+	// say.
+	HoldOff time.Duration
+	// Invalid describes a notice that could not be understood; empty if there is none.
+	Invalid string
+}
+
+// ServerFeedback is what the answer to a call tells of the backend server.
+type ServerFeedback struct {
+	// Load is nil if the answer does not report the load.
+	Load   *ServerLoad
+	Notice ServerNotice
+}
+
 // Response is the head of a backend server's answer.
 type Response struct {
 	Status int
@@ -135,6 +153,8 @@
 	CloseDelimited bool
 	// Load is nil if the answer does not report the load.
 	Load *ServerLoad
+	// Notice is what the server says of itself.
+	Notice ServerNotice
 	// Body ends with io.EOF only if the whole body was read.
 	Body BodyReader
 }
@@ -185,9 +205,9 @@
 type Maker interface {
 	// Make returns one result for each piece, in order. The error is ErrUnsent
 	// if the backend server did not accept the call, and ErrLost otherwise.
-	Make(ctx context.Context, server Server, pieces []Piece) ([]PieceResult, *ServerLoad, error)
+	Make(ctx context.Context, server Server, pieces []Piece) ([]PieceResult, ServerFeedback, error)
 	// Free releases results held by a backend server.
-	Free(ctx context.Context, server Server, handles []string) error
+	Free(ctx context.Context, server Server, handles []string) (ServerFeedback, error)
 }
 
 // Item is a keyed record of the platform's store.
--- a/reason.go
+++ b/reason.go
@@ -34,6 +34,7 @@
 	ReasonRoom        Reason = "room"
 	ReasonTimeout     Reason = "timeout"
 	ReasonQuarantine  Reason = "quarantine"
+	ReasonHeld        Reason = "held"
 )
 
 // Remedy describes the reason and tells a caller or an operator how to react.
@@ -93,6 +94,8 @@
 		return "the result of an earlier stage is no longer held; retry"
 	case ReasonQuarantine:
 		return "prompts with these parts have crashed backend servers; change the prompt, or retry after the time given"
+	case ReasonHeld:
+		return "the backend servers that are left want no requests for a while; retry after the time given"
 	case ReasonRoom:
 		return "the backend server has no room for results; retry after the time given"
 	}
