forward: Check prompts again once a request's stages have run

A request that was admitted before its prompt was known to crash servers went on to one after its stages, which take two seconds at load. TestQuarantineHoldsForRequestsInTheirStages failed before.

--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -87,3 +87,27 @@
 	c.Assert(late <= maxCrashesAfter, qt.IsTrue, qt.Commentf("%d crashes, %d of them later than %v after the fifth", len(engines.crashed), late, window))
 	c.Assert(refusedSound <= sound/10, qt.IsTrue, qt.Commentf("%d of %d sound requests refused", refusedSound, sound))
 }
+
+// A request whose stages take long is not sent any more once its prompt is known to crash
+// servers.
+func TestQuarantineHoldsForRequestsInTheirStages(t *testing.T) {
+	c := qt.New(t)
+	w := newFakePlatform()
+	w.setRoute(stagedRoute())
+	f := w.newForwarder(t)
+	p := newProxyRequest(w)
+	p.Pieces, p.PieceKey = []int{1, 0, 0}, "k"
+	p.Prompt = sequoialead.Prompt{Input: 20, Parts: []sequoialead.PromptPart{{ID: 1}, {ID: 0xdead}, {ID: 3}}}
+	w.onMake = func() {
+		for n := range 3 {
+			w.now = w.now.Add(time.Second)
+			w.quarantine.RecordCrash(sequoialead.Server{ID: fmt.Sprintf("s%d", n)}, p.Prompt.Parts, true)
+		}
+	}
+	w.script = []string{"events"}
+	result := f.Serve(context.Background(), p, &recordingSink{})
+	c.Assert(result.Status, qt.Equals, 503)
+	c.Assert(result.Reason, qt.Equals, sequoialead.ReasonQuarantine)
+	c.Assert(w.attempts, qt.HasLen, 0)
+	w.eventually(t, func() bool { return w.freedCount == len(w.made) })
+}
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -47,6 +47,8 @@
 	callsToLose int
 	// onMake is called at the start of each Make; it may be nil.
 	onMake func()
+	// quarantine is that of the forwarder made last.
+	quarantine *quarantine.Quarantine
 	// notices holds what each server says in all its answers. arrivals counts by server and
 	// kind of sender what reached it.
 	notices  map[string]sequoialead.ServerNotice
@@ -250,8 +252,9 @@
 }
 
 func (w *fakePlatform) newForwarderWith(t *testing.T, exchanger sequoialead.Exchanger, now func() time.Time) *forward.Forwarder {
+	w.quarantine = newQuarantine(now)
 	f := forward.New(forward.Options{
-		Knowledge: w, Exchanger: exchanger, Maker: w, Siblings: noSiblings{}, Quarantine: newQuarantine(now), Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: now,
+		Knowledge: w, Exchanger: exchanger, Maker: w, Siblings: noSiblings{}, Quarantine: w.quarantine, Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: now,
 		Random: rand.New(rand.NewPCG(1, 1)), Entry: "e", Domain: "a",
 		Limits: forward.Limits{Revoke: 5 * time.Second, Limits: pool.Limits{
 			Retries: retries.Options{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5, MaxHold: time.Minute,
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -91,6 +91,10 @@
 			}
 			return Result{Status: http.StatusUnauthorized, Reason: sequoialead.ReasonKey}
 		}
+		if held := f.refuseQuarantined(j); held != nil {
+			f.releasePlace(j, place, pool.EndAbandoned, nil)
+			return *held
+		}
 		if !f.allowAttempt(j) {
 			f.releasePlace(j, place, pool.EndAbandoned, nil)
 			return j.refusal(sequoialead.ReasonRetries)
