backend, explain, testscripts: Play notices and deadly prompts with real processes

The stand-in says what it is told to in each answer, refuses, and crashes on a part of a prompt. Two tests run real gateways: one heeds both notices while the store says otherwise, three hold a deadly prompt back that each has seen only at times, and go on serving sound ones. explain names the cause.

--- a/core/explain/cause.go
+++ b/core/explain/cause.go
@@ -22,6 +22,9 @@
 
 func (t *Timeline) refusalCause(s Step) string {
 	for _, e := range t.steps {
+		if e.Event == "quarantined" {
+			return e.Text + "; refused truthfully, not run"
+		}
 		if e.Event == "estimate" {
 			return fmt.Sprintf("too much waited for its stages: they would have taken %s of an objective of %s; refused truthfully, not run", roundDuration(e.Fields["stages"]), e.Fields["aim"])
 		}
@@ -45,6 +48,8 @@
 			if e.Fields["service"] != "" {
 				return fmt.Sprintf("%s (%s); refused truthfully, not run", e.Text, s.Fields["reason"])
 			}
+		case "quarantined":
+			return e.Text
 		case "send-refused":
 			if s.Fields["sends"] == "" {
 				return fmt.Sprintf("%s, and no other agent took it in time (%s)", e.Text, s.Fields["reason"])
--- a/fake/backend/backend.go
+++ b/fake/backend/backend.go
@@ -80,13 +80,23 @@
 	wrongInputs []string
 	results     map[string]bool
 	pieceCalls  int
+	// said holds the headers that go with each answer; see Say.
+	said map[string]string
+	// refusing is set while all requests and calls are refused; see Refuse.
+	refusing bool
+	// crashPart is the part of a prompt under which the server breaks off all requests that
+	// are running; empty for none.
+	crashPart string
+	onCrash   func()
+	// running requests listen on crash, which is closed and replaced at a crash.
+	crash chan struct{}
 }
 
 var _ http.Handler = (*Server)(nil)
 
 // New returns a backend server that holds no results.
 func New(opts Options) *Server {
-	return &Server{opts: opts, results: map[string]bool{}}
+	return &Server{opts: opts, results: map[string]bool{}, crash: make(chan struct{})}
 }
 
 // Inject appends faults for the next requests, one for each.
@@ -96,6 +106,55 @@
 	s.faults = append(s.faults, faults...)
 }
 
+// Say adds headers to every answer from now on: what a server says of itself, such as that it
+// is leaving. Nil ends it.
+func (s *Server) Say(headers map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.said = headers
+}
+
+// Refuse refuses all requests and calls that make pieces from now on, or ends that.
+func (s *Server) Refuse(refusing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = refusing
+}
+
+// CrashOn makes the server break off everything that is running when it begins to answer a
+// request with a part of a prompt, given in hexadecimal. It calls onCrash each time.
+func (s *Server) CrashOn(part string, onCrash func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashPart, s.onCrash = part, onCrash
+}
+
+// crashes reports whether the server breaks off at a request, and breaks off the others.
+func (s *Server) crashes(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashPart == "" || !strings.Contains(","+r.Header.Get("Prompt-Prefix"), ","+s.crashPart+":") {
+		return false
+	}
+	close(s.crash)
+	s.crash = make(chan struct{})
+	s.onCrash()
+	return true
+}
+
+// run waits for a time. It reports false if the server has crashed meanwhile.
+func (s *Server) run(d time.Duration) bool {
+	s.mu.Lock()
+	crash := s.crash
+	s.mu.Unlock()
+	select {
+	case <-time.After(d):
+		return true
+	case <-crash:
+		return false
+	}
+}
+
 // ClearFaults removes the faults that were not injected yet.
 func (s *Server) ClearFaults() {
 	s.mu.Lock()
@@ -151,6 +210,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.mu.Lock()
+	for name, value := range s.said {
+		w.Header().Set(name, value)
+	}
+	refusing := s.refusing && r.URL.Path != "/sequoialead/stage-free"
+	s.mu.Unlock()
+	if refusing {
+		s.refuse(w, r)
+		return
+	}
 	switch r.URL.Path {
 	case "/sequoialead/stage-run":
 		s.make(w, r)
@@ -161,6 +230,18 @@
 	}
 }
 
+// refuse records a request and refuses it.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, Arrival{ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone()})
+	s.mu.Unlock()
+	if id := r.Header.Get("Request-Id"); id != "" {
+		w.Header().Set("Request-Id", id)
+	}
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -182,7 +263,9 @@
 	}
 	s.addRunning(1)
 	defer s.addRunning(-1)
-	time.Sleep(s.opts.ServiceTime)
+	if !s.run(s.opts.ServiceTime) {
+		panic(http.ErrAbortHandler)
+	}
 	if fault != FaultUnstamped {
 		w.Header().Set("Response-Stamp", s.opts.ID+"."+id)
 	}
@@ -209,6 +292,9 @@
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	if _ = control.Flush(); s.crashes(r) {
+		panic(http.ErrAbortHandler)
+	}
 	first := 1
 	if last := r.Header.Get("Last-Event-Id"); last != "" {
 		n, err := strconv.Atoi(last)
@@ -228,7 +314,9 @@
 		if _, err := io.WriteString(w, event); err != nil || control.Flush() != nil {
 			return
 		}
-		time.Sleep(s.opts.EventInterval)
+		if !s.run(s.opts.EventInterval) {
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
--- a/testscripts/gateway_test.go
+++ b/testscripts/gateway_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -150,7 +151,13 @@
 }
 
 func (g *gatewaySite) putBackendRecord(id, pool string, opts backend.Options, state string) {
-	record, err := json.Marshal(map[string]any{"service": pool, "addr": opts.Addr, "zone": "a", "slots": opts.Slots, "state": state, "cold_left_ms": 0, "seq": 1, "born": 1700000000000})
+	g.putBackendRecordBorn(id, pool, opts, state, 1700000000000)
+}
+
+// putBackendRecordBorn writes the record of a backend server that started at the given time
+// in Unix milliseconds.
+func (g *gatewaySite) putBackendRecordBorn(id, pool string, opts backend.Options, state string, born int64) {
+	record, err := json.Marshal(map[string]any{"service": pool, "addr": opts.Addr, "zone": "a", "slots": opts.Slots, "state": state, "cold_left_ms": 0, "seq": 1, "born": born})
 	qt.Assert(g.t, err, qt.IsNil)
 	g.store.Put("keyed.servers", id, record)
 }
@@ -217,6 +224,17 @@
 // sendRequest sends a request and returns the status and body of the answer, and
 // whether the body was complete.
 func (g *gatewaySite) sendRequest(p *gatewayProcess, method, path, id, key string) (status int, body string, complete bool) {
+	g.t.Helper()
+	return g.sendWithPrompt(p, method, path, id, key, "a1:10,"+id+":20")
+}
+
+// sendDraft sends a request for a draft whose prompt has the given parts.
+func (g *gatewaySite) sendDraft(p *gatewayProcess, id, parts string) (status int, body string, complete bool) {
+	g.t.Helper()
+	return g.sendWithPrompt(p, "POST", "/draft/x", id, "k1", parts)
+}
+
+func (g *gatewaySite) sendWithPrompt(p *gatewayProcess, method, path, id, key, parts string) (status int, body string, complete bool) {
 	g.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -229,7 +247,7 @@
 	if strings.HasPrefix(path, "/draft/") {
 		r.Header.Set("Pieces", "1,2")
 		r.Header.Set("Piece-Key", "pk")
-		r.Header.Set("Prompt-Prefix", "a1:10,"+id+":20")
+		r.Header.Set("Prompt-Prefix", parts)
 		r.Header.Set("Token-Count", "30,10")
 	}
 	response, err := http.DefaultClient.Do(r)
@@ -318,6 +336,113 @@
 	c.Assert(g.explain("late1"), qt.Matches, `(?s).*stage 0 .*stage 1 .*cause: the first byte came after .*, the objective is 130ms; the longest wait, .*\n`)
 }
 
+// TestGatewayHeedsServerNotices checks that a backend server that says that it is leaving, or
+// that it wants nothing for a while, gets no requests from a gateway that has read it.
+func TestGatewayHeedsServerNotices(t *testing.T) {
+	c := qt.New(t)
+	g := newGateways(t, 1)
+	p := g.procs[0]
+	send := func(prefix string, count int) {
+		for i := range count {
+			status, body, _ := g.sendRequest(p, "GET", "/check/", fmt.Sprintf("%s%d", prefix, i), "k1")
+			c.Assert(status, qt.Equals, 200, qt.Commentf("%s", body))
+		}
+	}
+	arrived := func(id string) int { return len(g.backends[id].Arrivals()) }
+
+	send("first", 1)
+	told, other := "desk-1", "desk-2"
+	if arrived(told) == 0 {
+		told, other = other, told
+	}
+
+	g.backends[told].Say(map[string]string{"Retry-After": "2"})
+	g.backends[told].Refuse(true)
+	g.waitFor("a request is refused", func() bool {
+		send("refused", 1)
+		return arrived(told) > 1
+	})
+	g.backends[told].Refuse(false)
+	before, refusedAt := arrived(told), time.Now()
+	for time.Since(refusedAt) < 1500*time.Millisecond {
+		send("held", 5)
+	}
+	c.Assert(arrived(told), qt.Equals, before)
+
+	g.backends[told].Say(map[string]string{"Server-Leaving": "1"})
+	g.backends[other].Say(map[string]string{"Retry-After": "1"})
+	time.Sleep(time.Until(refusedAt.Add(2100 * time.Millisecond)))
+	g.backends[other].Refuse(true)
+	g.waitFor("the server gets a request again, and says that it leaves", func() bool {
+		send("again", 1)
+		return arrived(told) > before
+	})
+	g.backends[other].Refuse(false)
+	g.putBackendRecord(told, "desk", g.backendOptions[told], "ready") // the store doesn't know yet
+	time.Sleep(1100 * time.Millisecond)
+	g.backends[other].Say(nil)
+	send("left", 50)
+	c.Assert(arrived(told), qt.Equals, before+1)
+
+	g.backends[other].Say(map[string]string{"Retry-After": "30"})
+	g.backends[other].Refuse(true)
+	status, _, _ := g.sendRequest(p, "GET", "/check/", "last1", "k1")
+	c.Assert(status, qt.Equals, 503)
+	status, body, _ := g.sendRequest(p, "GET", "/check/", "last2", "k1")
+	c.Assert(status, qt.Equals, 503)
+	c.Assert(body, qt.Matches, `(?s)held: .*`)
+}
+
+// TestGatewaysHoldBackDeadlyPrompts checks that no gateway sends on a prompt that has crashed
+// backend servers behind the others, and that sound prompts beside it are served.
+func TestGatewaysHoldBackDeadlyPrompts(t *testing.T) {
+	c := qt.New(t)
+	g := newGateways(t, 3)
+	var mu sync.Mutex
+	crashes := 0
+	for _, id := range []string{"model-1", "model-2"} {
+		g.backends[id].CrashOn("dead", func() {
+			mu.Lock()
+			defer mu.Unlock()
+			crashes++
+			g.putBackendRecordBorn(id, "model", g.backendOptions[id], "ready", 1700000000000+int64(crashes)) // it starts again
+		})
+	}
+	count := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return crashes
+	}
+	send := func(p *gatewayProcess, id, prefix string) int {
+		status, _, complete := g.sendDraft(p, id, prefix+","+id+":20")
+		if status == 200 && !complete {
+			return 0
+		}
+		return status
+	}
+	n := 0
+	g.waitFor("all gateways hold the prompt back", func() bool {
+		held := 0
+		for i, p := range g.procs {
+			n++
+			if send(p, fmt.Sprintf("a%d", n), "a1:10,dead:10") == 503 {
+				held++
+			}
+			c.Assert(send(g.procs[(i+1)%3], fmt.Sprintf("b%d", n), "a1:10,b2:10"), qt.Equals, 200)
+		}
+		time.Sleep(300 * time.Millisecond)
+		return held == len(g.procs)
+	})
+	before := count()
+	for i := range 30 {
+		status := send(g.procs[i%3], fmt.Sprintf("c%d", i), "a1:10,dead:10")
+		c.Assert(status, qt.Equals, 503)
+		c.Assert(send(g.procs[i%3], fmt.Sprintf("d%d", i), "a1:10,b2:10"), qt.Equals, 200)
+	}
+	c.Assert(count(), qt.Equals, before)
+	c.Assert(g.explain("c0"), qt.Matches, `(?s).*have crashed backend servers.*refused truthfully, not run\n`)
+}
+
 func TestGatewayFollowsTheOperator(t *testing.T) {
 	c := qt.New(t)
 	g := newGateways(t, 1)
