testscripts: Let backend servers of the soak leave and hold off

Notices, odd ones too, come from a stream of random choices of their own, so that the listed seeds play the faults that they failed with. Once the faults are over, each gateway must send nothing to servers that have told it so, and use them again once they have restarted.

--- a/testscripts/soak_check_test.go
+++ b/testscripts/soak_check_test.go
@@ -14,7 +14,7 @@
 // in time: it refuses a removed API key and sends nothing to a draining backend server.
 func (s *soak) checkPropagation() {
 	s.configure(4, 2000, "")
-	s.putBackendRecord("desk-1", "desk", s.backendOptions["desk-1"], "draining")
+	s.putBackendRecordBorn("desk-1", "desk", s.backendOptions["desk-1"], "draining", 1800000000000)
 	time.Sleep(soakApplyTimeout)
 	before := len(s.backends["desk-1"].Arrivals())
 	for i, p := range s.procs {
@@ -32,6 +32,82 @@
 	}
 }
 
+// checkNotices checks, once the faults have ended, that each gateway sends nothing to backend
+// servers that have told it that they want nothing for a while, or that they are leaving.
+func (s *soak) checkNotices() {
+	const hold = time.Second
+	for i, p := range s.procs {
+		desks := []string{"desk-1", "desk-2"}
+		for _, id := range desks {
+			s.backends[id].Say(map[string]string{"Retry-After": "1"})
+			s.backends[id].Refuse(true)
+		}
+		told := time.Now()
+		status, _, _ := s.sendRequest(p, "GET", "/check/", fmt.Sprintf("told%d", i), "k1")
+		before := s.arrived(desks)
+		for n := 0; n < 10 && time.Since(told) < hold-soakClockTolerance; n++ {
+			if status, _, _ = s.sendRequest(p, "GET", "/check/", fmt.Sprintf("held%d-%d", i, n), "k1"); status != http.StatusServiceUnavailable {
+				s.t.Errorf("gateway %d answers with status %d while no backend server wants anything", i, status)
+			}
+		}
+		if after := s.arrived(desks); after != before {
+			s.t.Errorf("backend servers that want nothing received %d requests from gateway %d", after-before, i)
+		}
+		for _, id := range desks {
+			s.backends[id].Say(nil)
+			s.backends[id].Refuse(false)
+		}
+	}
+	for i, p := range s.procs {
+		desks := []string{"desk-1", "desk-2"}
+		n := 0
+		s.waitFor("the gateway serves requests again after the hold", func() bool {
+			n++
+			status, _, _ := s.sendRequest(p, "GET", "/check/", fmt.Sprintf("free%d-%d", i, n), "k1")
+			return status == http.StatusOK
+		})
+		for _, id := range desks {
+			s.backends[id].Say(map[string]string{"Server-Leaving": "1"})
+		}
+		s.waitFor("the gateway sends nothing to servers that are leaving", func() bool {
+			n++
+			status, _, _ := s.sendRequest(p, "GET", "/check/", fmt.Sprintf("leaving%d-%d", i, n), "k1")
+			return status == http.StatusServiceUnavailable
+		})
+		before := s.arrived(desks)
+		for range 5 {
+			n++
+			s.sendRequest(p, "GET", "/check/", fmt.Sprintf("left%d-%d", i, n), "k1")
+		}
+		if after := s.arrived(desks); after != before {
+			s.t.Errorf("backend servers that are leaving received %d requests from gateway %d", after-before, i)
+		}
+		for _, id := range desks {
+			s.backends[id].Say(nil)
+		}
+	}
+	for _, id := range []string{"desk-1", "desk-2"} {
+		s.putBackendRecordBorn(id, "desk", s.backendOptions[id], "ready", 1800000000000)
+	}
+	for i, p := range s.procs {
+		n := 0
+		s.waitFor("the gateway serves requests again after a restart of the servers", func() bool {
+			n++
+			status, _, _ := s.sendRequest(p, "GET", "/check/", fmt.Sprintf("restarted%d-%d", i, n), "k1")
+			return status == http.StatusOK
+		})
+	}
+}
+
+// arrived returns the number of requests that have reached the given backend servers.
+func (s *soak) arrived(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		n += len(s.backends[id].Arrivals())
+	}
+	return n
+}
+
 // checkRequests compares the answers that callers got with the requests that the
 // backend servers recorded.
 func (s *soak) checkRequests() {
--- a/testscripts/soak_test.go
+++ b/testscripts/soak_test.go
@@ -47,6 +47,9 @@
 	// version and stop sending requests to a draining backend server: the default of
 	// the settings apply and drain.
 	soakApplyTimeout = 2 * time.Second
+	// noticeStream keeps the random choices of notices apart from those of other faults, so
+	// that earlier seeds still play the faults that they failed with.
+	noticeStream = 1 << 32
 	// soakClockTolerance allows for the difference between the times at which the test
 	// and a gateway record the same event.
 	soakClockTolerance = 100 * time.Millisecond
@@ -127,8 +130,10 @@
 		wg.Go(func() { s.runCaller(ctx, c, random) })
 	}
 	wg.Go(func() { s.injectFaults(ctx) })
+	wg.Go(func() { s.injectNotices(ctx, rand.New(rand.NewPCG(seed, noticeStream))) })
 	wg.Wait()
 	s.endFaults()
+	s.checkNotices()
 	s.checkPropagation()
 	s.checkRequests()
 }
@@ -238,6 +243,30 @@
 	return nil
 }
 
+// injectNotices lets backend servers say that they are leaving, or that they want nothing for
+// a while, until ctx is done. A server that has left starts again.
+func (s *soak) injectNotices(ctx context.Context, random *rand.Rand) {
+	for starts := int64(1); ctx.Err() == nil; starts++ {
+		id := []string{"desk-1", "desk-2", "model-1", "model-2", "encode-1"}[random.IntN(5)]
+		pool, _, _ := strings.Cut(id, "-")
+		length := time.Duration(50+random.IntN(600)) * time.Millisecond
+		switch random.IntN(3) {
+		case 0:
+			s.backends[id].Say(map[string]string{"Server-Leaving": []string{"1", "1", "0", "soon"}[random.IntN(4)]})
+			time.Sleep(length)
+			s.backends[id].Say(nil)
+			s.putBackendRecordBorn(id, pool, s.backendOptions[id], "ready", 1700000000000+starts)
+		case 1:
+			s.backends[id].Say(map[string]string{"Retry-After": []string{"0.3", "1", "-1", "NaN", "never"}[random.IntN(5)]})
+			s.backends[id].Refuse(true)
+			time.Sleep(length)
+			s.backends[id].Refuse(false)
+			s.backends[id].Say(nil)
+		}
+		time.Sleep(time.Duration(random.IntN(700)) * time.Millisecond)
+	}
+}
+
 // removeSecondKey removes the second API key from the configuration, unless that was
 // done before.
 func (s *soak) removeSecondKey() {
@@ -317,6 +346,8 @@
 	}
 	for _, b := range s.backends {
 		b.ClearFaults()
+		b.Refuse(false)
+		b.Say(nil)
 	}
 	for i, p := range s.procs {
 		s.signalProcess(p, syscall.SIGCONT)
