quarantine, pool, forward: Evaluate evidence once for all records read

Each record of a page had the whole evidence evaluated again; an entry that starts reads one for each other entry. New evidence is evaluated with the next refresh, which follows each page, and at once for an own suspect whose answer had begun. Refuted parts no longer count once they are older than the evidence.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -85,6 +85,8 @@
 	// refuted holds the parts of verdicts that an answer has contradicted, with the
 	// time of day.
 	refuted map[uint64]time.Time
+	// pending is set while there is evidence that was not evaluated.
+	pending bool
 	// restored is set once the record of an earlier process of this entry was applied.
 	restored bool
 }
@@ -137,7 +139,10 @@
 	id := crashID{server: server.ID, startedAt: server.StartedAt.UnixMilli()}
 	if q.evidence.addOwn(id, prompt, begun, q.opts.Now(), q.opts.Wall()) {
 		q.opts.Log.Info("crash-suspect", "server", id.server, "started", server.StartedAt, "begun", begun, "parts", format(prompt))
-		q.evaluate()
+		q.pending = true
+		if begun {
+			q.evaluate()
+		}
 		q.markChanged()
 	}
 }
@@ -165,12 +170,16 @@
 	}
 }
 
-// Refresh evaluates the evidence once the reports of other entries must have arrived.
+// Refresh evaluates new evidence, and that for which the reports of other entries must have
+// arrived. It has to be called several times a second.
 func (q *Quarantine) Refresh() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if at := q.evidence.completeAt; !at.IsZero() && !q.opts.Now().Before(at) {
 		q.evidence.completeAt = time.Time{}
+		q.pending = true
+	}
+	if q.pending {
 		q.evaluate()
 	}
 }
@@ -178,6 +187,7 @@
 // evaluate makes verdicts of the evidence, and prolongs those that explain a new crash.
 // q.mu must be held.
 func (q *Quarantine) evaluate() {
+	q.pending = false
 	now := q.opts.Now()
 	q.evidence.prune(now)
 	verdicts := q.current(now)
@@ -187,16 +197,16 @@
 			break
 		}
 		found.since, found.until, found.own = now, now.Add(hold), q.evidence.contributed(found)
-		verdicts = slices.DeleteFunc(verdicts, func(v *verdict) bool { return v.contains(found.parts) })
+		verdicts = slices.DeleteFunc(verdicts, func(v *verdict) bool { return containsAll(v.parts, found.parts) })
 		verdicts = append(verdicts, found)
 		q.opts.Log.Info("quarantine", "parts", format(found.parts), "crashes", q.evidence.count(found), "hold", hold, "own", found.own)
 	}
 	q.verdicts.Store(&verdicts)
 }
 
-// contains reports whether the verdict has all of the given parts.
-func (v *verdict) contains(parts []uint64) bool {
-	return !slices.ContainsFunc(parts, func(id uint64) bool { return !slices.Contains(v.parts, id) })
+// containsAll reports whether a list of parts has all of the given ones.
+func containsAll(list, parts []uint64) bool {
+	return !slices.ContainsFunc(parts, func(id uint64) bool { return !slices.Contains(list, id) })
 }
 
 // current returns copies of the verdicts that have not expired. Those in force are not
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -67,6 +67,7 @@
 }
 
 func (f *fleet) held(entry int, ids ...uint64) bool {
+	f.entries[entry].Refresh()
 	return !f.entries[entry].Check(f.prompt(ids...)).IsZero()
 }
 
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -48,7 +48,7 @@
 		if own := c.reports[q.opts.Entry]; own != nil {
 			r.Crashes = append(r.Crashes, crashRecord{
 				Server: id.server, StartedAt: id.startedAt, At: c.happenedAt.UnixMilli(),
-				Begun: q.unanswered(own.begun, c), Waiting: q.unanswered(own.waiting, c),
+				Begun: q.stillSuspect(own.begun, c), Waiting: q.stillSuspect(own.waiting, c),
 			})
 		}
 	}
@@ -74,8 +74,8 @@
 	return cbor.Marshal(r)
 }
 
-// unanswered returns the suspects of a crash without the parts that were answered since.
-func (q *Quarantine) unanswered(prompts [][]uint64, c *crash) [][]uint64 {
+// stillSuspect returns the suspects of a crash without the parts that were answered since.
+func (q *Quarantine) stillSuspect(prompts [][]uint64, c *crash) [][]uint64 {
 	var kept [][]uint64
 	for _, p := range prompts {
 		p = slices.DeleteFunc(slices.Clone(p), func(id uint64) bool { return q.evidence.answered(id).After(c.at) })
@@ -87,7 +87,8 @@
 }
 
 // Apply takes over what an entry tells, in place of what it told before. Of its own
-// record, which an earlier process wrote, an entry takes over the verdicts alone.
+// record, which an earlier process wrote, an entry takes over the verdicts alone. Refresh
+// evaluates the evidence.
 func (q *Quarantine) Apply(entry string, raw []byte) error {
 	var r record
 	if len(raw) > 0 {
@@ -120,7 +121,7 @@
 	for _, v := range r.Verdicts[:min(len(r.Verdicts), maxRecordItems)] {
 		q.adopt(entry, v, now, wall)
 	}
-	q.evaluate()
+	q.pending = true
 	return nil
 }
 
@@ -164,11 +165,11 @@
 	if len(r.Parts) == 0 || len(r.Parts) > maxParts || !until.After(now) {
 		return
 	}
-	_, refutedBefore := q.refuted[r.Parts[0]]
-	refuted := refutedBefore || !slices.ContainsFunc(r.Parts, func(id uint64) bool { return now.Sub(q.evidence.answered(id)) > recentAnswer })
+	refutedAt, refutedBefore := q.refuted[r.Parts[0]]
+	refuted := refutedBefore && wall.Sub(refutedAt) <= evidenceAge || !slices.ContainsFunc(r.Parts, func(id uint64) bool { return now.Sub(q.evidence.answered(id)) > recentAnswer })
 	verdicts := q.current(now)
 	known := slices.ContainsFunc(verdicts, func(v *verdict) bool {
-		return !slices.ContainsFunc(v.parts, func(id uint64) bool { return !slices.Contains(r.Parts, id) })
+		return containsAll(r.Parts, v.parts)
 	})
 	if refuted || known {
 		return
--- a/core/watch/publish_test.go
+++ b/core/watch/publish_test.go
@@ -36,7 +36,10 @@
 	s := &store{records: map[sequoialead.Topic][]sequoialead.Item{}}
 	prompt := []sequoialead.PromptPart{{ID: 1}, {ID: 0xdead}, {ID: 3}}
 	held := func(q *quarantine.Quarantine) func() bool {
-		return func() bool { return !q.Check(prompt).IsZero() }
+		return func() bool {
+			q.Refresh() // as the forwarder does
+			return !q.Check(prompt).IsZero()
+		}
 	}
 	var first *watch.Watcher
 	var entries []*quarantine.Quarantine
--- a/testscripts/soak_check_test.go
+++ b/testscripts/soak_check_test.go
@@ -32,12 +32,12 @@
 	}
 }
 
-// checkNotices checks, once the faults have ended, that each gateway sends nothing to backend
-// servers that have told it that they want nothing for a while, or that they are leaving.
-func (s *soak) checkNotices() {
+// checkHolds checks, once the faults have ended, that each gateway sends nothing to backend
+// servers that have told it that they want nothing for a while.
+func (s *soak) checkHolds() {
 	const hold = time.Second
+	desks := []string{"desk-1", "desk-2"}
 	for i, p := range s.procs {
-		desks := []string{"desk-1", "desk-2"}
 		for _, id := range desks {
 			s.backends[id].Say(map[string]string{"Retry-After": "1"})
 			s.backends[id].Refuse(true)
@@ -58,8 +58,13 @@
 			s.backends[id].Refuse(false)
 		}
 	}
+}
+
+// checkLeaving checks, once the faults have ended, that each gateway sends nothing to backend
+// servers that have told it that they are leaving, and uses them once they have restarted.
+func (s *soak) checkLeaving() {
+	desks := []string{"desk-1", "desk-2"}
 	for i, p := range s.procs {
-		desks := []string{"desk-1", "desk-2"}
 		n := 0
 		s.waitFor("the gateway serves requests again after the hold", func() bool {
 			n++
@@ -86,7 +91,7 @@
 			s.backends[id].Say(nil)
 		}
 	}
-	for _, id := range []string{"desk-1", "desk-2"} {
+	for _, id := range desks {
 		s.putBackendRecordBorn(id, "desk", s.backendOptions[id], "ready", 1800000000000)
 	}
 	for i, p := range s.procs {
--- a/testscripts/soak_test.go
+++ b/testscripts/soak_test.go
@@ -133,7 +133,8 @@
 	wg.Go(func() { s.injectNotices(ctx, rand.New(rand.NewPCG(seed, noticeStream))) })
 	wg.Wait()
 	s.endFaults()
-	s.checkNotices()
+	s.checkHolds()
+	s.checkLeaving()
 	s.checkPropagation()
 	s.checkRequests()
 }
