--- a/core/forward/notice_test.go
+++ b/core/forward/notice_test.go
@@ -16,13 +16,9 @@
 	"sequoialead/core/proxyconfig"
 )
 
-var (
-	leaving = sequoialead.ServerNotice{Leaving: true}
-	holdOff = sequoialead.ServerNotice{HoldOff: 10 * time.Second}
-)
-
 // Each sender has to ask before it sends to a server that is leaving or wants nothing.
 func TestEverySenderHeedsNotices(t *testing.T) {
+	leaving, holdOff := sequoialead.ServerNotice{Leaving: true}, sequoialead.ServerNotice{HoldOff: 10 * time.Second}
 	stream := proxyconfig.Route{Kind: proxyconfig.KindStream, Pools: []proxyconfig.WeightedPool{{Pool: "draft", Weight: 1}}}
 	resumable := stream
 	resumable.Resumable = true
@@ -97,7 +93,7 @@
 		}()
 		time.Sleep(time.Second)
 		w.mu.Lock()
-		w.notices = map[string]sequoialead.ServerNotice{"encode-0": holdOff}
+		w.notices = map[string]sequoialead.ServerNotice{"encode-0": {HoldOff: 10 * time.Second}}
 		w.mu.Unlock()
 		serve("r2")
 		<-done
@@ -119,7 +115,7 @@
 	w := newFakePlatform()
 	w.setRoute(proxyconfig.Route{Kind: proxyconfig.KindSafe, Pools: []proxyconfig.WeightedPool{{Pool: "desk", Weight: 1}}})
 	w.keepOnly("desk-1", "desk-2")
-	w.notices = map[string]sequoialead.ServerNotice{"desk-1": leaving}
+	w.notices = map[string]sequoialead.ServerNotice{"desk-1": {Leaving: true}}
 	f := w.newForwarder(t)
 	serve := func() {
 		for range 20 {
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -347,22 +347,22 @@
 		case err != nil && ctx.Err() != nil:
 			return pool.EndAbandoned, actionFail, sequoialead.ReasonCancelled
 		case err != nil:
-			return f.streamCut(j, place, received, err)
+			return pool.EndFailed, f.streamCut(j, place, received, err), sequoialead.ReasonBackend
 		}
 	}
 }
 
 // streamCut handles a stream that was broken off after a number of bytes.
-func (f *Forwarder) streamCut(j *job, place *pool.Place, received int, err error) (pool.End, action, sequoialead.Reason) {
+func (f *Forwarder) streamCut(j *job, place *pool.Place, received int, err error) action {
 	j.trail.Add("stream-cut", "server", place.Server.ID, "started", place.Server.StartedAt, "bytes", received, "after", j.lastEventID, "resumable", j.route.Resumable,
 		"parts", j.request.Prompt.PartIDs(), "err", err)
 	if received == 0 {
 		f.recordCrash(j, place, true, err)
 	}
 	if j.route.Resumable {
-		return pool.EndFailed, actionRetry, sequoialead.ReasonBackend
+		return actionRetry
 	}
-	return pool.EndFailed, actionFail, sequoialead.ReasonBackend
+	return actionFail
 }
 
 // isEventStream reports whether the answer to a request for a stream holds events, as far as
--- a/testscripts/soak_check_test.go
+++ b/testscripts/soak_check_test.go
@@ -43,10 +43,10 @@
 			s.backends[id].Refuse(true)
 		}
 		told := time.Now()
-		status, _, _ := s.sendRequest(p, "GET", "/check/", fmt.Sprintf("told%d", i), "k1")
+		s.sendRequest(p, "GET", "/check/", fmt.Sprintf("told%d", i), "k1")
 		before := s.arrived(desks)
 		for n := 0; n < 10 && time.Since(told) < hold-soakClockTolerance; n++ {
-			if status, _, _ = s.sendRequest(p, "GET", "/check/", fmt.Sprintf("held%d-%d", i, n), "k1"); status != http.StatusServiceUnavailable {
+			if status, _, _ := s.sendRequest(p, "GET", "/check/", fmt.Sprintf("held%d-%d", i, n), "k1"); status != http.StatusServiceUnavailable {
 				s.t.Errorf("gateway %d answers with status %d while no backend server wants anything", i, status)
 			}
 		}
