--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -31,7 +31,7 @@
 		e.crashed = append(e.crashed, e.current)
 		for i := range e.servers {
 			if e.servers[i].ID == attempt.Server.ID {
-				e.servers[i].StartedAt = e.now // it starts again at once
+				e.servers[i].StartedAt = e.clock() // it starts again at once
 			}
 		}
 		response.Body = &fakeBody{err: sequoialead.ErrBroken.New("cut")}
@@ -56,8 +56,7 @@
 	f := w.newForwarderTo(t, engines)
 	refusedSound, sound := 0, 0
 	for n := range 200 {
-		w.now = w.now.Add(time.Second / perSecond)
-		w.lease.Renew(w.now)
+		w.advance(time.Second / perSecond)
 		engines.current = n
 		f.Refresh()
 		p := newProxyRequest(w)
@@ -100,7 +99,7 @@
 	p.Prompt = sequoialead.Prompt{Input: 20, Parts: []sequoialead.PromptPart{{ID: 1}, {ID: 0xdead}, {ID: 3}}}
 	w.onMake = func() {
 		for n := range 3 {
-			w.now = w.now.Add(time.Second)
+			w.advance(time.Second)
 			w.quarantine.RecordCrash(sequoialead.Server{ID: fmt.Sprintf("s%d", n)}, p.Prompt.Parts, true)
 		}
 	}
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -109,12 +109,13 @@
 	w.mu.Lock()
 	w.attempts = append(w.attempts, attempt)
 	w.arrivals["send "+attempt.Server.ID]++
+	notice := w.notices[attempt.Server.ID]
 	step := "done"
 	if len(w.script) > 0 {
 		step, w.script = w.script[0], w.script[1:]
 	}
 	w.mu.Unlock()
-	r := &sequoialead.Response{Status: http.StatusOK, Header: http.Header{}, Stamped: true, Body: &fakeBody{err: io.EOF}, Notice: w.notices[attempt.Server.ID]}
+	r := &sequoialead.Response{Status: http.StatusOK, Header: http.Header{}, Stamped: true, Body: &fakeBody{err: io.EOF}, Notice: notice}
 	lost := sequoialead.ErrLost.New("lost")
 	switch step {
 	case "done":
@@ -243,7 +244,7 @@
 
 // newForwarderTo returns a forwarder that sends requests through the given exchanger.
 func (w *fakePlatform) newForwarderTo(t *testing.T, exchanger sequoialead.Exchanger) *forward.Forwarder {
-	return w.newForwarderWith(t, exchanger, func() time.Time { return w.now })
+	return w.newForwarderWith(t, exchanger, w.clock)
 }
 
 // newForwarderOnClock returns a forwarder that goes by the given clock.
@@ -267,6 +268,21 @@
 	return f
 }
 
+// clock returns the time, which the test moves with advance.
+func (w *fakePlatform) clock() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now
+}
+
+// advance moves the clock, and renews the lease.
+func (w *fakePlatform) advance(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.now = w.now.Add(d)
+	w.lease.Renew(w.now)
+}
+
 func newQuarantine(now func() time.Time) *quarantine.Quarantine {
 	return quarantine.New(quarantine.Options{Entry: "e", Metrics: metrics.NewSet(), Now: now, Wall: now})
 }
--- a/core/forward/notice_test.go
+++ b/core/forward/notice_test.go
@@ -51,8 +51,7 @@
 			w.notices = map[string]sequoialead.ServerNotice{test.told: test.notice}
 			f := w.newForwarder(t)
 			for n := range 40 {
-				w.now = w.now.Add(100 * time.Millisecond)
-				w.lease.Renew(w.now)
+				w.advance(100 * time.Millisecond)
 				w.script = strings.Fields(test.script)
 				p := newProxyRequest(w)
 				p.ID = fmt.Sprintf("r%d", n)
@@ -119,8 +118,7 @@
 	f := w.newForwarder(t)
 	serve := func() {
 		for range 20 {
-			w.now = w.now.Add(100 * time.Millisecond)
-			w.lease.Renew(w.now)
+			w.advance(100 * time.Millisecond)
 			f.Serve(context.Background(), newProxyRequest(w), &recordingSink{})
 		}
 	}
