--- a/review/_standin/gate.go
+++ b/review/_standin/gate.go
@@ -80,7 +80,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
-	if g.log, err = os.Create(filepath.Join(g.p.tmp, g.name+".log")); err != nil {
+	if g.log, err = os.OpenFile(filepath.Join(g.p.tmp, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		return err
 	}
 	g.cmd = exec.Command("target/sequoialead", "gateway", "--config", path)
