--- a/review/_standin/storm.go
+++ b/review/_standin/storm.go
@@ -14,6 +14,8 @@
 	// stormGap and stormVersions are those of a storm of 2 s with gap_s = 0.08.
 	stormGap      = 80 * time.Millisecond
 	stormVersions = 25
+	// calmGap is the time between the same versions without the disruption.
+	calmGap = 1500 * time.Millisecond
 	// bigCount is the number of routes that big_config adds.
 	bigCount = 1400
 )
@@ -76,20 +78,19 @@
 	p.note("version 2 with %d routes (%d bytes) acknowledged at %d", bigCount+1, len(raw), p.ms(grown))
 	time.Sleep(4 * time.Second)
 	var taken time.Time
-	if p.trouble {
-		for i := range stormVersions {
-			next := time.Now().Add(stormGap)
-			keys := both
-			if i == stormVersions-1 {
-				keys = one
-			}
-			taken = p.store.putJSON("keyed.op", "config", bigConfig(3+i, bigCount, keys))
-			p.note("version %d acknowledged at %d, %d keys", 3+i, p.ms(taken), len(keys))
-			time.Sleep(time.Until(next))
+	gap := stormGap
+	if !p.trouble {
+		gap = calmGap
+	}
+	for i := range stormVersions {
+		next := time.Now().Add(gap)
+		keys := both
+		if i == stormVersions-1 {
+			keys = one
 		}
-	} else {
-		taken = p.store.putJSON("keyed.op", "config", bigConfig(3, bigCount, one))
-		p.note("version 3 acknowledged at %d, 1 key", p.ms(taken))
+		taken = p.store.putJSON("keyed.op", "config", bigConfig(3+i, bigCount, keys))
+		p.note("version %d acknowledged at %d, %d keys", 3+i, p.ms(taken), len(keys))
+		time.Sleep(time.Until(next))
 	}
 	time.Sleep(time.Until(taken.Add(revokeLimit + 10*time.Second)))
 	close(stop)
