--- a/review/_standin/stop.go
+++ b/review/_standin/stop.go
@@ -135,11 +135,11 @@
 	list[id] = time.Now()
 }
 
-const brochureRunner = "i-llm-1"
+const notesRunner = "i-llm-1"
 
-// serveBrochure is a model runner whose streams last six seconds.
-func serveBrochure(w http.ResponseWriter, q *http.Request) {
-	if expect := q.Header.Get("Expect-Instance"); expect != "" && expect != brochureRunner {
+// serveNotes is a model runner whose streams last six seconds.
+func serveNotes(w http.ResponseWriter, q *http.Request) {
+	if expect := q.Header.Get("Expect-Instance"); expect != "" && expect != notesRunner {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -162,20 +162,20 @@
 	p.store.putJSON("keyed.op", "config", map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
-			"name": "r-confirm", "host": "orders.example", "path_prefix": "/confirm/", "kind": "unsafe", "timeout_ms": 1500, "slo_ms": 300, "priority": 2,
-			"service": "orders", "max_attempts": 1, "public": true, "sticky": false, "resumable": false,
+			"name": "r-hold", "host": "desk.example", "path_prefix": "/hold/", "kind": "unsafe", "timeout_ms": 1500, "slo_ms": 300, "priority": 2,
+			"service": "desk", "max_attempts": 1, "public": true, "sticky": false, "resumable": false,
 		}, map[string]any{
-			"name": "r-brochure", "host": "orders.example", "path_prefix": "/brochure/", "kind": "streaming", "timeout_ms": 20000, "slo_ms": 2500, "priority": 1,
-			"service": "llm", "max_attempts": 1, "public": true, "sticky": true, "resumable": false, "gap_aim_ms": 400,
+			"name": "r-notes", "host": "desk.example", "path_prefix": "/notes/", "kind": "streaming", "timeout_ms": 12000, "slo_ms": 1900, "priority": 0,
+			"service": "llm", "max_attempts": 1, "public": true, "sticky": true, "resumable": false, "gap_aim_ms": 300,
 		}},
-		"services": []any{map[string]any{"name": "llm", "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0, "engine": map[string]any{"slots": 64, "kv_tokens": 444000}},
-			map[string]any{"name": "orders", "health_path": "/healthz", "max_conns": 180, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0}},
+		"services": []any{map[string]any{"name": "llm", "health_path": "/healthz", "max_conns": 280, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0, "engine": map[string]any{"slots": 64, "kv_tokens": 444000}},
+			map[string]any{"name": "desk", "health_path": "/healthz", "max_conns": 130, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	var runners []*queued
 	for i := range 2 {
 		r := &queued{
-			id: fmt.Sprintf("i-orders-%d", i+1), slots: make(chan struct{}, 3), work: 450 * time.Millisecond, queue: 12,
+			id: fmt.Sprintf("i-desk-%d", i+1), slots: make(chan struct{}, 3), work: 450 * time.Millisecond, queue: 12,
 			arrived: map[string]time.Time{}, answered: map[string]time.Time{}, dropped: map[string]time.Time{},
 		}
 		l, err := listen()
@@ -184,16 +184,16 @@
 		}
 		server := &httptest.Server{Listener: l, Config: &http.Server{Handler: r}}
 		server.Start()
-		p.register(r.id, "orders", l.Addr().String(), "akl-a", 3)
+		p.register(r.id, "desk", l.Addr().String(), "akl-a", 3)
 		runners = append(runners, r)
 	}
 	l, err := listen()
 	if err != nil {
 		return err
 	}
-	llm := &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(serveBrochure)}}
+	llm := &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(serveNotes)}}
 	llm.Start()
-	p.register(brochureRunner, "llm", l.Addr().String(), "akl-a", 64)
+	p.register(notesRunner, "llm", l.Addr().String(), "akl-a", 64)
 	if err := p.startGates("akl-a", "akl-a", "akl-a"); err != nil {
 		return err
 	}
@@ -218,7 +218,7 @@
 				continue
 			}
 			requesters.Go(func() {
-				s := send(g.name, g.front(), request{id: fmt.Sprintf("c-%05d", n), method: http.MethodPost, path: "/confirm/a", host: "orders.example", body: "print", deadline: deadline})
+				s := send(g.name, g.front(), request{id: fmt.Sprintf("c-%05d", n), method: http.MethodPost, path: "/hold/a", host: "desk.example", body: "slot", deadline: deadline})
 				mu.Lock()
 				defer mu.Unlock()
 				all = append(all, s)
@@ -236,7 +236,7 @@
 			if g := b.pick(); g != nil {
 				requesters.Go(func() {
 					send(g.name, g.front(), request{
-						id: fmt.Sprintf("b-%05d", n), method: http.MethodPost, path: "/brochure/a", host: "orders.example", body: "prompt", deadline: 20 * time.Second,
+						id: fmt.Sprintf("b-%05d", n), method: http.MethodPost, path: "/notes/a", host: "desk.example", body: "prompt", deadline: 12 * time.Second,
 						header: map[string]string{"Model": "m", "Token-Count": "600,60", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:100,%x:500", 0x10000+n)},
 					})
 				})
