forward: Refuse what a planned stop would cut

Cause, told apart by the time of the send: before 7.25 s only streams were refused, any other request was sent whatever time was left. After 7.25 s, when unsent requests are refused, context.AfterFunc cancels in a goroutine of its own, so that a later request was sent first.

Change: after the balancer's notice any request whose deadline lies after the moment at which the process has to have answered is refused as not run; the end of sending is checked directly before a send; what is still at a backend server 0.2 s before the end is answered with 502; a gateway that ends early refuses first and looks again whether something is in flight. The time of the check is that of the decision, not of the request's head, since a body may take long.

--- a/commands/stopgateway.go
+++ b/commands/stopgateway.go
@@ -26,6 +26,9 @@
 	// not yet sent to a backend server are refused. It leaves time to answer each
 	// caller even on a slow machine.
 	refusalReserve = 400 * time.Millisecond
+	// answerReserve is the time before closeReserve in which requests that were sent
+	// are ended, so that callers without an answer get one.
+	answerReserve = 200 * time.Millisecond
 )
 
 // readiness answers the balancer's readiness checks.
@@ -48,8 +51,7 @@
 
 // stopGateway reports that the gateway is not ready and returns once the balancer
 // has noticed and all requests have ended. When the grace period is nearly over it
-// refuses the requests that were not yet sent, and returns while others may still be
-// in flight.
+// refuses the requests that were not yet sent, and then ends the others.
 func stopGateway(group *services.Group, grace time.Duration) error {
 	ready, err := services.Find[*readiness](group, nameReadiness)
 	if err != nil {
@@ -67,18 +69,24 @@
 	if err != nil {
 		return err
 	}
+	start := time.Now()
+	sendTime := grace - closeReserve - refusalReserve
 	ready.leaving.Store(true)
 	siblings.Drain()
-	forwarder.Drain()
+	forwarder.Drain(bootclock.Now().Add(sendTime))
 	server.Drain()
-	start := time.Now()
 	for {
 		time.Sleep(stopPollPeriod)
 		elapsed := time.Since(start)
-		if elapsed > grace-closeReserve-refusalReserve {
+		idle := elapsed > balancerDelay && forwarder.InFlight() == 0
+		if idle || elapsed > sendTime {
 			forwarder.AbortUnsent()
 		}
-		if elapsed > grace-closeReserve || elapsed > balancerDelay && forwarder.InFlight() == 0 {
+		if elapsed > grace-closeReserve-answerReserve {
+			forwarder.AbortSent()
+		}
+		// A request that came before AbortUnsent is in flight now.
+		if elapsed > grace-closeReserve || idle && forwarder.InFlight() == 0 {
 			return nil
 		}
 	}
--- a/core/forward/admit.go
+++ b/core/forward/admit.go
@@ -80,10 +80,10 @@
 		}
 		return nil, &Result{Status: http.StatusNotFound, Reason: sequoialead.ReasonRoute}
 	}
-	if f.leavingTooSoon(route, p.ArrivedAt) {
+	j := &job{request: p, trail: tr, route: route, pool: route.Pool(p.ID), urgency: route.Priority, deadline: deadline(p, route), tried: map[string]bool{}}
+	if f.leavingTooSoon(j.deadline) {
 		return nil, &Result{Status: http.StatusServiceUnavailable, Reason: sequoialead.ReasonLeaving, RetryAfter: leavingRetryAfter}
 	}
-	j := &job{request: p, trail: tr, route: route, pool: route.Pool(p.ID), urgency: route.Priority, tried: map[string]bool{}}
 	if conf.RequiresKey() && !route.Public {
 		if !f.keysCurrent(ctx, p) {
 			return nil, stale
@@ -100,6 +100,14 @@
 		}
 	}
 	j.urgency = min(max(j.urgency, 0), maxUrgency)
+	age, _ := f.opts.Knowledge.Lease().Age(p.ArrivedAt)
+	tr.Add("arrive", "route", route.Name, "pool", j.pool, "customer", j.customerName(), "urgency", j.urgency, "version", conf.Version,
+		"version-age", age, "wait", j.deadline.Sub(p.ArrivedAt), "pieces", p.Pieces)
+	return j, nil
+}
+
+// deadline returns when the caller must have the complete answer to a request.
+func deadline(p *sequoialead.ProxyRequest, route *proxyconfig.Route) time.Time {
 	wait := defaultTimeout
 	if p.CallerTimeout > 0 {
 		wait = p.CallerTimeout
@@ -107,11 +115,7 @@
 	if route.Timeout > 0 {
 		wait = min(wait, route.Timeout)
 	}
-	j.deadline = p.ArrivedAt.Add(wait)
-	age, _ := f.opts.Knowledge.Lease().Age(p.ArrivedAt)
-	tr.Add("arrive", "route", route.Name, "pool", j.pool, "customer", j.customerName(), "urgency", j.urgency, "version", conf.Version,
-		"version-age", age, "wait", wait, "pieces", p.Pieces)
-	return j, nil
+	return p.ArrivedAt.Add(wait)
 }
 
 // customerName returns the customer's name; empty if there is no customer.
@@ -181,9 +185,12 @@
 	return result
 }
 
-// timeoutResult returns the result for a request whose deadline has passed.
-func (f *Forwarder) timeoutResult(j *job) Result {
+// interruptedResult returns the result for a request whose context has ended: by its
+// deadline, or because the process exits.
+func (f *Forwarder) interruptedResult(j *job) Result {
 	switch {
+	case f.sentCtx.Err() != nil:
+		return j.refusal(sequoialead.ReasonLeaving)
 	case j.headSent:
 		return Result{Reason: sequoialead.ReasonTimeout, Truncated: true}
 	case j.mayHaveRun:
--- a/core/forward/body_test.go
+++ b/core/forward/body_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"context"
 	"sync"
 
 	"sequoialead"
@@ -54,3 +55,21 @@
 	b.once.Do(func() { close(b.closed) })
 	return nil
 }
+
+// hangingBody is an answer that stops after its first part, until its context ends.
+type hangingBody struct {
+	ctx   context.Context
+	first string
+}
+
+func (b *hangingBody) Read(p []byte) (int, error) {
+	if b.first != "" {
+		n := copy(p, b.first)
+		b.first = b.first[n:]
+		return n, nil
+	}
+	<-b.ctx.Done()
+	return 0, b.ctx.Err()
+}
+func (b *hangingBody) Buffered() int { return 0 }
+func (b *hangingBody) Close() error  { return nil }
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -61,7 +61,8 @@
 	Entry  string
 	Domain string
 	Limits Limits
-	// DrainNotice is how long a leaving entry continues to accept streams.
+	// DrainNotice is how long a leaving entry continues to accept requests that may
+	// last longer than it runs.
 	DrainNotice time.Duration
 }
 
@@ -128,13 +129,18 @@
 	// waiters are ordered by urgency, then by arrival.
 	waiters  []*waiter
 	inFlight int
-	// leavingSince is when the entry started to leave; zero before.
-	leavingSince time.Time
+	// noticeEnd and leavesAt are zero until the entry leaves. After noticeEnd it accepts
+	// only requests whose deadline is not after leavesAt.
+	noticeEnd time.Time
+	leavesAt  time.Time
 
 	// unsentCtx is canceled, by cancelUnsent, when the requests that were not yet
 	// sent to a backend server have to be refused.
 	unsentCtx    context.Context
 	cancelUnsent context.CancelFunc
+	// sentCtx is canceled, by cancelSent, when those that were sent have to end too.
+	sentCtx    context.Context
+	cancelSent context.CancelFunc
 }
 
 var _ sequoialead.Service = (*Forwarder)(nil)
@@ -143,6 +149,7 @@
 func New(opts Options) *Forwarder {
 	f := &Forwarder{opts: opts, metrics: recorder{set: opts.Metrics}, trails: requestlog.NewRecorder(opts.Log, opts.Now), pools: map[string]*pool.Pool{}, entries: 1}
 	f.unsentCtx, f.cancelUnsent = context.WithCancel(context.Background())
+	f.sentCtx, f.cancelSent = context.WithCancel(context.Background())
 	f.batcher = batch.New(batch.Options{Maker: opts.Maker, Pools: poolAccess{f}, Log: opts.Log, Metrics: opts.Metrics, Now: opts.Now})
 	f.delegate = delegate.New(delegate.Options{
 		Entry: opts.Entry, Domain: opts.Domain, Batcher: f.batcher, Siblings: opts.Siblings, Log: opts.Log, Now: opts.Now,
@@ -171,9 +178,10 @@
 	return f.batcher.Start(ctx)
 }
 
-// Close refuses unsent requests, stops the forwarder and waits until it has stopped.
+// Close ends all requests, stops the forwarder and waits until it has stopped.
 func (f *Forwarder) Close() error {
 	f.cancelUnsent()
+	f.cancelSent()
 	err := f.batcher.Close()
 	f.tomb.Kill(nil)
 	if wait := f.tomb.Wait(); err == nil {
@@ -198,26 +206,32 @@
 	return f.opts.Limits.Revoke
 }
 
-// Drain stops this entry from leading backend servers. Once DrainNotice is
-// over, it also refuses new streams, which might not end before the process does.
-func (f *Forwarder) Drain() {
+// Drain stops this entry from leading backend servers. Once DrainNotice is over, it
+// also refuses new requests that might not end by leavesAt, when the process has to
+// have answered its callers.
+func (f *Forwarder) Drain(leavesAt time.Time) {
 	f.delegate.HandOver()
 	f.mu.Lock()
-	f.leavingSince = f.opts.Now()
+	f.noticeEnd, f.leavesAt = f.opts.Now().Add(f.opts.DrainNotice), leavesAt
 	f.mu.Unlock()
 	f.Refresh()
 }
 
-// AbortUnsent refuses the requests that were not yet sent to a backend server,
-// because the process would exit before it could answer them.
+// AbortUnsent refuses the requests that were not yet sent to a backend server, and all
+// further ones. Once it has returned, no request that InFlight does not count is sent.
 func (f *Forwarder) AbortUnsent() { f.cancelUnsent() }
 
-// leavingTooSoon reports whether a request of a route might not end before the
-// leaving entry exits.
-func (f *Forwarder) leavingTooSoon(route *proxyconfig.Route, now time.Time) bool {
+// AbortSent ends the requests that were sent to a backend server, so that their callers
+// get an answer before the process exits.
+func (f *Forwarder) AbortSent() { f.cancelSent() }
+
+// leavingTooSoon reports whether a request with the given deadline might not end before
+// the leaving entry exits.
+func (f *Forwarder) leavingTooSoon(deadline time.Time) bool {
+	now := f.opts.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.leavingSince.IsZero() && route.Kind == proxyconfig.KindStream && now.Sub(f.leavingSince) > f.opts.DrainNotice
+	return !f.noticeEnd.IsZero() && now.After(f.noticeEnd) && deadline.After(f.leavesAt)
 }
 
 // InFlight returns the number of requests in flight.
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -147,6 +147,8 @@
 	case "hang":
 		<-ctx.Done()
 		return nil, lost
+	case "events-hang":
+		r.Body = &hangingBody{ctx: ctx, first: events("", 1)[0]}
 	case "events":
 		r.Body = &fakeBody{parts: events(attempt.LastEventID, 4), err: io.EOF}
 	case "events-inside":
@@ -429,11 +431,10 @@
 	w := newFakePlatform()
 	w.setRoute(proxyconfig.Route{Kind: proxyconfig.KindStream, Pools: []proxyconfig.WeightedPool{{Pool: "desk", Weight: 1}}})
 	f := w.newForwarder(t)
-	f.Drain()
-	p := newProxyRequest(w)
-	c.Assert(f.Serve(context.Background(), p, &recordingSink{}).Status, qt.Equals, 0)
-	p.ArrivedAt = w.now.Add(2100 * time.Millisecond)
-	v := f.Serve(context.Background(), p, &recordingSink{})
+	f.Drain(w.now.Add(7 * time.Second))
+	c.Assert(f.Serve(context.Background(), newProxyRequest(w), &recordingSink{}).Status, qt.Equals, 0)
+	w.advance(2100 * time.Millisecond)
+	v := f.Serve(context.Background(), newProxyRequest(w), &recordingSink{})
 	c.Assert(v.Status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(v.Reason, qt.Equals, sequoialead.ReasonLeaving)
 }
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -69,14 +69,15 @@
 			}
 		}
 		place, reason := f.acquirePlace(unsentCtx, j)
-		if unsentCtx.Err() != nil {
+		// unsentCtx ends only some time after f.unsentCtx, in another goroutine.
+		if unsentCtx.Err() != nil || f.unsentCtx.Err() != nil {
 			if place != nil {
 				f.releasePlace(j, place, pool.EndAbandoned, nil)
 			}
 			if ctx.Err() == nil {
 				return j.refusal(sequoialead.ReasonLeaving)
 			}
-			return f.timeoutResult(j)
+			return f.interruptedResult(j)
 		}
 		if place == nil && reason == sequoialead.ReasonHeld {
 			return f.refuseHeld(j)
@@ -104,7 +105,7 @@
 		case action == actionDone:
 			return Result{}
 		case ctx.Err() != nil:
-			return f.timeoutResult(j)
+			return f.interruptedResult(j)
 		case action == actionFail, j.attempts >= j.route.MaxAttempts, offers >= maxOffers:
 			return j.refusal(reason)
 		}
--- a/core/forward/serve.go
+++ b/core/forward/serve.go
@@ -27,6 +27,7 @@
 	f.addInFlight(1)
 	limited, cancel := context.WithTimeout(ctx, j.deadline.Sub(f.opts.Now()))
 	defer cancel()
+	defer context.AfterFunc(f.sentCtx, cancel)()
 	result := f.send(limited, j, sink)
 	f.releaseInputs(j)
 	f.addInFlight(-1)
--- a/core/forward/stages_test.go
+++ b/core/forward/stages_test.go
@@ -178,7 +178,7 @@
 	ended := make(chan forward.Result, 1)
 	go func() { ended <- f.Serve(context.Background(), p, &recordingSink{}) }()
 	<-makeStarted
-	f.Drain()
+	f.Drain(w.now.Add(time.Minute))
 	f.AbortUnsent()
 	v := <-ended
 	close(unblock)
