batch: Refuse pieces larger than the room of their servers

Callers saw all connections to a gateway close without an answer after one request on a new route (review/2): its stage makes results of 0.8 MB, the pool's servers have room for 0.5 MB. The leader's process ended with "index out of range [0] with length 0" in runCall, then the next leader, then the entry itself, which had passed the order on as that of a lost leader.

Cause: findPlace capped what an order needs at the whole room, takeBatch compared the piece itself with the room and took none, and dispatch started a call without pieces. The cap was wrong in the other direction as well: at servers that other entries lead only 0.4 of the room is offered, so orders above that never got a place there.

Change: one account of the room decides both. Such orders wait behind the others. A place that no piece can use is given back.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -251,6 +251,9 @@
 		if q.inFlight >= max(led, 1) {
 			return // as many calls in flight as led backend servers, or one if none is led
 		}
+		if q.checkSizes(conf.Pieces.RoomBytes, now) {
+			continue
+		}
 		q.sort(now, conf.Pieces.MaxBatch, max(led, 1))
 		place, room := b.findPlace(q, conf, now)
 		if place == nil {
@@ -258,6 +261,11 @@
 			return
 		}
 		c := &call{q: q, conf: conf, place: place, batch: q.takeBatch(conf.Pieces.MaxBatch, place.Server, room, b.localWaitFunc(q, conf, now))}
+		if len(c.batch) == 0 {
+			b.opts.Pools.Release(q.name, place, pool.EndAbandoned, nil)
+			b.dispatchLater(q)
+			return
+		}
 		for _, p := range c.batch {
 			b.rooms.reserve(q.name, place.Server.ID, p.piece.Bytes)
 		}
--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -56,13 +56,17 @@
 		c.q.sharedUntil = b.opts.Now().Add(sharedPeriod)
 	}
 	withoutRoom := 0
-	server := c.place.Server
+	server, room := c.place.Server, c.conf.Pieces.RoomBytes
 	retryGranted := map[*pendingOrder]bool{}
 	for i, p := range c.batch {
 		m := sequoialead.PieceResult{Reason: sequoialead.ReasonBackend}
 		if err == nil {
 			m = results[i]
 		}
+		if m.Reason == sequoialead.ReasonRoom && p.piece.Bytes > room {
+			b.refuseSize(c, p)
+			continue
+		}
 		if m.Reason == sequoialead.ReasonRoom {
 			withoutRoom++
 		}
@@ -82,6 +86,16 @@
 	b.dispatch(c.q)
 }
 
+// refuseSize fails the order of a piece that its backend server has no room for even
+// without other results.
+func (b *Batcher) refuseSize(c *call, p *pendingPiece) {
+	server, room := c.place.Server, c.conf.Pieces.RoomBytes
+	b.opts.Log.Info("piece-too-large", "id", p.piece.Request, "stage", p.piece.Stage, "pool", c.q.name, "server", server.ID, "bytes", p.piece.Bytes, "room", room)
+	c.q.recordRefusedSize(p.piece.Bytes, room, b.opts.Now())
+	b.rooms.release(server.ID, p.piece.Bytes)
+	p.parent.fail(sequoialead.ReasonRoom)
+}
+
 // settlePiece completes, fails or requeues one piece. An order takes one retry
 // from the pool's budget for all its pieces that the call failed; retryGranted
 // records whether it got one.
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -14,27 +14,28 @@
 const maxOrdersTried = 64
 
 // findPlace acquires a place for a call: a place for the first order in the queue
-// that can get one. It also returns the room for results there, in bytes. The place
-// is nil if no order can get one.
-func (b *Batcher) findPlace(q *queue, conf *proxyconfig.Pool, now time.Time) (*pool.Place, int) {
+// that can get one. It also returns the room for results there. The place is nil if no
+// order can get one.
+func (b *Batcher) findPlace(q *queue, conf *proxyconfig.Pool, now time.Time) (*pool.Place, spareRoom) {
 	waitsForLocal := b.localWaitFunc(q, conf, now)
 	leads := b.opts.Pools.LedServers(q.name) > 0
 	for _, o := range q.orders[:min(len(q.orders), maxOrdersTried)] {
-		need := min(o.pendingBytes(conf.Pieces.MaxBatch), conf.Pieces.RoomBytes)
+		need := o.pendingBytes(conf.Pieces.MaxBatch)
 		place, _ := b.opts.Pools.Acquire(q.name, pool.Request{
 			Exclude: o.failedServers, Domain: o.order.Domain,
 			HasCapacity: func(server sequoialead.Server, led bool) bool {
 				if leads && !led {
 					return false // the server's leader assumes that no other entry sends it calls
 				}
-				return !waitsForLocal(o, server.Domain) && b.rooms.freeRoom(conf.Pieces.RoomBytes, server.ID, led, now) >= need
+				room := b.rooms.spareRoom(conf.Pieces.RoomBytes, server.ID, led, now)
+				return !waitsForLocal(o, server.Domain) && (room.whole || room.bytes >= need)
 			},
 		})
 		if place != nil {
-			return place, max(b.rooms.freeRoom(conf.Pieces.RoomBytes, place.Server.ID, place.Led, now), need)
+			return place, b.rooms.spareRoom(conf.Pieces.RoomBytes, place.Server.ID, place.Led, now)
 		}
 	}
-	return nil, 0
+	return nil, spareRoom{}
 }
 
 // localWaitFunc returns a function that reports whether an order should wait
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -40,6 +40,10 @@
 	// late is set if the order would miss its due time behind those before it in
 	// the queue.
 	late bool
+	// largest is the size of the largest result among the order's pieces, and oversize is
+	// set if that is more than the room of a backend server.
+	largest  int
+	oversize bool
 	// abandoned is set once the caller of Make no longer waits.
 	abandoned bool
 	ended     bool
@@ -52,6 +56,7 @@
 	o.results = make([]Result, len(order.Pieces))
 	for i, piece := range order.Pieces {
 		o.pending = append(o.pending, &pendingPiece{piece: piece, parent: o, index: i})
+		o.largest = max(o.largest, piece.Bytes)
 	}
 	return o
 }
@@ -89,6 +94,15 @@
 	return n
 }
 
+// refusedSize is the smallest result above a pool's room that a backend server without
+// other results had no room for.
+type refusedSize struct {
+	bytes int
+	// room is the configured room at that time.
+	room  int
+	until time.Time
+}
+
 // queue holds the orders for one pool that have pieces neither made nor in flight.
 type queue struct {
 	name   string
@@ -110,6 +124,32 @@
 	// sharedUntil is the time until which other entries may have calls at the
 	// backend servers.
 	sharedUntil time.Time
+	refusedSize refusedSize
+}
+
+// checkSizes marks the orders with pieces larger than the configured room. It fails those
+// with a piece as large as one that a backend server has refused lately, and reports whether
+// there are any.
+func (q *queue) checkSizes(room int, now time.Time) bool {
+	known := q.refusedSize.room == room && now.Before(q.refusedSize.until)
+	failed := false
+	for _, o := range q.orders {
+		o.oversize = o.largest > room
+		if o.oversize && known && o.largest >= q.refusedSize.bytes {
+			o.fail(sequoialead.ReasonRoom)
+			failed = true
+		}
+	}
+	return failed
+}
+
+// recordRefusedSize records that a backend server had no room for a result that is larger
+// than the configured room.
+func (q *queue) recordRefusedSize(bytes, room int, now time.Time) {
+	if q.refusedSize.room == room && now.Before(q.refusedSize.until) {
+		bytes = min(bytes, q.refusedSize.bytes)
+	}
+	q.refusedSize = refusedSize{bytes: bytes, room: room, until: now.Add(refusedSizePeriod)}
 }
 
 // updateLedServers records how many backend servers this entry leads. After a
@@ -193,7 +233,8 @@
 }
 
 // sort puts started orders first, because their results take up room, then orders
-// that can meet their due time, and late orders last. Within each class, orders are
+// that can meet their due time, and last late orders and those that need a whole backend
+// server, since they may wait long. Within each class, orders are
 // sorted by urgency and due time. The pieces of late orders are not counted in the
 // waiting times of other orders, so a late order does not make others late.
 func (q *queue) sort(now time.Time, batch, servers int) {
@@ -209,6 +250,8 @@
 		wait := float64(ahead) / perCallTime * float64(q.callTime)
 		if o.late = !o.started && o.order.DueAt.Before(now.Add(q.callTime+time.Duration(wait))); o.late {
 			anyLate = true
+		}
+		if o.late || o.oversize {
 			continue
 		}
 		ahead += len(o.pending)
@@ -234,7 +277,7 @@
 	switch {
 	case o.started:
 		return 0
-	case o.late:
+	case o.late, o.oversize:
 		return 2
 	}
 	return 1
@@ -242,22 +285,25 @@
 
 // takeBatch removes the pieces of one call from the queue. It takes whole orders
 // that fit both the remaining pieces of the call and the remaining room. The first
-// order taken is split if it does not fit. Orders that already failed at the backend
-// server, or that wait for one in their own failure domain, are skipped.
-func (q *queue) takeBatch(maxPieces int, server sequoialead.Server, room int, waitsForLocal func(o *pendingOrder, domain string) bool) []*pendingPiece {
+// order taken is split if it does not fit. If the backend server holds nothing, the first
+// piece is taken whatever its size, because sizes are approximate. Orders that already
+// failed at the backend server, or that wait for one in their own failure domain, are
+// skipped.
+func (q *queue) takeBatch(maxPieces int, server sequoialead.Server, room spareRoom, waitsForLocal func(o *pendingOrder, domain string) bool) []*pendingPiece {
 	var batch []*pendingPiece
 	for _, o := range q.orders {
 		maxLeft := maxPieces - len(batch)
 		if maxLeft == 0 {
 			break
 		}
-		fits := len(o.pending) <= maxLeft && o.pendingBytes(maxLeft) <= room
+		fits := len(o.pending) <= maxLeft && o.pendingBytes(maxLeft) <= room.bytes
 		if o.failedServers[server.ID] || waitsForLocal(o, server.Domain) || !fits && len(batch) > 0 {
 			continue
 		}
 		n := 0
-		for n < len(o.pending) && n < maxLeft && o.pending[n].piece.Bytes <= room {
-			room -= o.pending[n].piece.Bytes
+		for n < len(o.pending) && n < maxLeft && (room.whole || o.pending[n].piece.Bytes <= room.bytes) {
+			room.bytes -= o.pending[n].piece.Bytes
+			room.whole = false
 			n++
 		}
 		batch = append(batch, o.pending[:n]...)
@@ -285,8 +331,8 @@
 func (q *queue) backlog(batch, servers int) protocol.Backlog {
 	l := protocol.Backlog{CallTime: q.callTime, PiecesPerCallTime: q.piecesPerCallTime(batch, servers), Servers: servers, Calls: q.inFlight}
 	for _, o := range q.orders {
-		if o.late {
-			continue // late orders are behind all others
+		if o.late || o.oversize {
+			continue // behind all others
 		}
 		if l.Pieces == nil {
 			l.Pieces = make([]int, urgencyCount)
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -57,7 +57,7 @@
 			c := qt.New(t)
 			q := &queue{orders: test.queue, callTime: 300 * time.Millisecond}
 			q.sort(start(), 10, 1)
-			c.Assert(ids(q.takeBatch(test.maxPieces, server, test.room, neverWaits)), qt.DeepEquals, test.want)
+			c.Assert(ids(q.takeBatch(test.maxPieces, server, spareRoom{bytes: test.room}, neverWaits)), qt.DeepEquals, test.want)
 		})
 	}
 }
@@ -86,10 +86,10 @@
 	q := &queue{orders: []*pendingOrder{order("a", 5, 9, time.Hour)}}
 	q.sort(start(), 10, 1)
 	server := sequoialead.Server{ID: "s"}
-	c.Assert(q.takeBatch(3, server, 99, neverWaits), qt.HasLen, 3)
+	c.Assert(q.takeBatch(3, server, spareRoom{bytes: 99}, neverWaits), qt.HasLen, 3)
 	q.orders = append(q.orders, order("b", 1, 0, time.Second))
 	q.sort(start(), 10, 1)
-	c.Assert(ids(q.takeBatch(2, server, 99, neverWaits)), qt.DeepEquals, []string{"a3", "a4"})
+	c.Assert(ids(q.takeBatch(2, server, spareRoom{bytes: 99}, neverWaits)), qt.DeepEquals, []string{"a3", "a4"})
 }
 
 func TestOrderWaitsForItsDomain(t *testing.T) {
@@ -98,8 +98,8 @@
 	o := order("a", 1, 0, time.Second)
 	o.order.Domain = "b"
 	q := &queue{orders: []*pendingOrder{o}}
-	c.Assert(q.takeBatch(9, sequoialead.Server{Domain: "a"}, 99, waitsForLocal), qt.HasLen, 0)
-	c.Assert(q.takeBatch(9, sequoialead.Server{Domain: "b"}, 99, waitsForLocal), qt.HasLen, 1)
+	c.Assert(q.takeBatch(9, sequoialead.Server{Domain: "a"}, spareRoom{bytes: 99}, waitsForLocal), qt.HasLen, 0)
+	c.Assert(q.takeBatch(9, sequoialead.Server{Domain: "b"}, spareRoom{bytes: 99}, waitsForLocal), qt.HasLen, 1)
 }
 
 // Only an order with at least minMovedBytes to move waits for its failure
@@ -130,7 +130,7 @@
 		}
 		for rounds := 0; len(q.orders) > 0; rounds++ {
 			q.sort(start(), 10, 1)
-			batch := q.takeBatch(rapid.IntRange(1, 5).Draw(t, "batch"), sequoialead.Server{ID: "s"}, rapid.IntRange(10, 60).Draw(t, "room"), neverWaits)
+			batch := q.takeBatch(rapid.IntRange(1, 5).Draw(t, "batch"), sequoialead.Server{ID: "s"}, spareRoom{bytes: rapid.IntRange(10, 60).Draw(t, "room")}, neverWaits)
 			if len(batch) == 0 {
 				t.Fatal("takeBatch returned no pieces although orders wait")
 			}
--- a/core/batch/rooms.go
+++ b/core/batch/rooms.go
@@ -22,6 +22,9 @@
 	// otherRoomShare is the part of the room that this entry uses at a backend
 	// server led by another entry.
 	otherRoomShare = 0.4
+	// refusedSizePeriod is how long results are refused that are larger than the room of
+	// a backend server, after one has refused a result of that size.
+	refusedSizePeriod = 10 * time.Second
 )
 
 // roomTracker tracks how many bytes of each backend server's memory for results
@@ -65,6 +68,19 @@
 	return capacity - t.held[server]
 }
 
+// spareRoom is the room for results that this entry may use at a backend server.
+type spareRoom struct {
+	bytes int
+	// whole is set if the entry uses none of it yet.
+	whole bool
+}
+
+// spareRoom returns the room that this entry may use at a backend server with the given
+// capacity.
+func (t *roomTracker) spareRoom(capacity int, server string, led bool, now time.Time) spareRoom {
+	return spareRoom{bytes: t.freeRoom(capacity, server, led, now), whole: t.held[server] == 0 && !now.Before(t.fullUntil[server])}
+}
+
 // markFull records that a backend server had no room for a result.
 func (t *roomTracker) markFull(server string, led bool, now time.Time) {
 	pause := otherFullPause
