watch: Renew the lease only once all records are known

Cause: an answer of the store holds 1,024 KB at most, here four versions, and tells the topic's end, which the adapter dropped. The watcher took each answer for all there was: it renewed the lease and slept for an interval.

Change: a page tells how many records remain. A partial page is applied but doesn't renew the lease, and the next read follows at once: from the next offset, or, where more records remain than the page had keys, of the newest record of each key. Answers that tell of records and hold none are errors. TestStore expects the end of the topic in a page, which it now has.

--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -45,6 +45,12 @@
 	next        uint64
 	synced      bool
 	recordCache *recordcache.Cache
+
+	// behind is set after a read of the store that returned only a part of the records
+	// from next on. skipHistory is set if the next read should return the newest record
+	// of every key instead of the rest.
+	behind      bool
+	skipHistory bool
 }
 
 // follow starts a goroutine that reads one topic until the watcher is closed.
@@ -68,6 +74,9 @@
 		done, err := f.read(started, entries)
 		if done {
 			retryBackoff.Reset()
+			if f.behind {
+				continue
+			}
 			f.reads++
 			f.sleep(f.nextInterval(entries)-f.watcher.opts.Now().Sub(started), nil)
 			continue
@@ -126,7 +135,7 @@
 	background := f.watcher.tomb.Context(context.Background())
 	request := protocol.RecordsRequest{Topic: f.topic, From: f.next}
 	rank := 0
-	if f.synced {
+	if f.synced && !f.behind {
 		if response, from, ok := relay.Read(background, request, entries, f.ageLimit(maxRelayAge)); ok {
 			f.applyRelayed(response, from, started)
 			return true, nil
@@ -175,7 +184,7 @@
 
 // readStore reads the topic from the store. started is when the read began.
 func (f *follower) readStore(ctx context.Context, started time.Time) error {
-	complete := !f.synced
+	complete := !f.synced || f.skipHistory
 	var page sequoialead.Page
 	var err error
 	if complete {
@@ -193,13 +202,32 @@
 	}
 	if f.synced && page.Next < f.next {
 		f.watcher.opts.Log.Info("stale-read", "topic", f.topic, "next", f.next, "got", page.Next)
+		f.behind = false
 		return nil
 	}
+	if remaining := page.Remaining(); remaining > 0 {
+		if page.Next == f.next {
+			return sequoialead.ErrPlatform.New("the store returned none of the %d records of %q from offset %d on; retrying", remaining, f.topic, f.next)
+		}
+		f.skipHistory = remaining > countKeys(page.Items)
+		f.watcher.opts.Log.Info("partial-read", "topic", f.topic, "from", f.next, "next", page.Next, "end", page.End, "skip", f.skipHistory)
+	} else {
+		f.skipHistory = false
+	}
 	f.setSource("")
 	f.applyPage(page, complete, started)
 	return nil
 }
 
+// countKeys returns the number of different keys of records.
+func countKeys(items []sequoialead.Item) uint64 {
+	keys := map[string]bool{}
+	for _, item := range items {
+		keys[item.Key] = true
+	}
+	return uint64(len(keys))
+}
+
 // markUnsynced makes the next read return the newest record of every key.
 func (f *follower) markUnsynced() {
 	f.watcher.mu.Lock()
@@ -207,7 +235,8 @@
 	f.synced = false
 }
 
-// applyPage applies a page whose read from the store began at started.
+// applyPage applies a page whose read from the store began at started. A part of the records
+// asked for doesn't renew the lease, since it says nothing about those that are missing.
 func (f *follower) applyPage(page sequoialead.Page, complete bool, started time.Time) {
 	origin := "store"
 	if f.source != "" {
@@ -223,12 +252,15 @@
 	}
 	f.next = page.Next
 	f.synced = true
-	if f.topic == sequoialead.TopicServers {
+	f.behind = page.Remaining() > 0
+	if f.topic == sequoialead.TopicServers && !f.behind {
 		f.watcher.servers.StoreRead(now)
 	}
 	f.apply(page, complete, now)
 	f.watcher.mu.Unlock()
-	f.lease.Renew(started)
+	if !f.behind {
+		f.lease.Renew(started)
+	}
 	if f.failing {
 		f.failing = false
 		f.watcher.opts.Log.Info("store-back", "topic", f.topic, "from", f.source)
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -34,8 +34,14 @@
 	down bool
 	// stale makes reads from an offset return a smaller next offset.
 	stale bool
-	// reads counts the reads from an offset.
-	reads int
+	// reads counts the reads from an offset, and newestReads those of the newest records.
+	reads       int
+	newestReads int
+	// pageLimit is the maximum number of records of one read from an offset; 0 for any.
+	// Below 0 such a read returns none, although there are some.
+	pageLimit int
+	// delay is the time that each read takes.
+	delay time.Duration
 	// maxTimeout is the longest timeout that a read was given.
 	maxTimeout time.Duration
 }
@@ -53,9 +59,20 @@
 	change()
 }
 
+func (s *store) wait() {
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+}
+
 func (s *store) Newest(_ context.Context, topic sequoialead.Topic) (sequoialead.Page, error) {
+	s.wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.newestReads++
 	if s.down {
 		return sequoialead.Page{}, sequoialead.ErrPlatform.New("down")
 	}
@@ -73,6 +90,7 @@
 }
 
 func (s *store) Since(ctx context.Context, topic sequoialead.Topic, from uint64) (sequoialead.Page, error) {
+	s.wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
@@ -88,10 +106,12 @@
 		return sequoialead.Page{Next: from - 1}, nil
 	}
 	list := s.records[topic]
-	page := sequoialead.Page{Next: uint64(len(list))}
+	page := sequoialead.Page{Next: uint64(len(list)), End: uint64(len(list))}
+	if s.pageLimit != 0 {
+		page.Next = min(page.Next, from+uint64(max(s.pageLimit, 0)))
+	}
 	if from < page.Next {
-		page.Items = list[from:]
-		return page, nil
+		page.Items = list[from:page.Next]
 	}
 	return page, nil
 }
--- a/fake/store/store.go
+++ b/fake/store/store.go
@@ -22,6 +22,9 @@
 	maxWait = 30 * time.Second
 	// pageItems is the maximum number of keys in one answer with the newest records.
 	pageItems = 500
+	// pageBytes is the maximum size of the records in one answer. An answer holds at least
+	// one record.
+	pageBytes = 1 << 20
 )
 
 // Fault is the set of faults currently injected.
@@ -199,6 +202,9 @@
 	raw = binary.BigEndian.AppendUint64(raw, t.first)
 	for at := from; at < end; at++ {
 		rec := t.records[at-t.first]
+		if at > from && len(raw)+len(rec.key)+len(rec.value) > pageBytes {
+			break
+		}
 		raw = binary.BigEndian.AppendUint32(raw, uint32(1+len(rec.key)+len(rec.value)))
 		raw = append(raw, byte(len(rec.key)))
 		raw = append(raw, rec.key...)
@@ -229,8 +235,10 @@
 		Truncated bool         `json:"truncated"`
 		End       uint64       `json:"end"`
 	}{Items: []newestItem{}, End: t.first + uint64(len(t.records))}
+	size := 0
 	for i, key := range keys {
-		if i == pageItems {
+		size += len(t.newestValues[key])
+		if i == pageItems || i > 0 && size > pageBytes {
 			answer.Truncated = true
 			break
 		}
--- a/proxy.go
+++ b/proxy.go
@@ -223,8 +223,15 @@
 	Items []Item
 	// Next is the offset of the first record that was not returned.
 	Next uint64
+	// End is the offset after the last record that the topic held. If it is above Next,
+	// the page holds only the first of the records asked for. It may be zero if the page
+	// is complete.
+	End uint64
 }
 
+// Remaining returns the number of records asked for that the page doesn't hold.
+func (p Page) Remaining() uint64 { return max(p.End, p.Next) - p.Next }
+
 // Store is the platform's store of keyed records. Errors are ErrPlatform, or
 // ErrGone if the records at the requested offset are no longer retained.
 type Store interface {
