proxyconfig: Require keys also where none is valid

Cause: RequiresKey asked whether any key is known. The decoder keeps keys alone, so customers without keys looked like an installation without customers, and neither the key nor the lease was checked.

Change: a list of customers requires keys, whatever it holds. The check before a send also covers requests that were admitted while no keys were required. event=version tells the number of keys.

--- a/core/forward/admit.go
+++ b/core/forward/admit.go
@@ -147,13 +147,14 @@
 	}
 }
 
-// keyValid reports whether the customer's key has not been revoked since the request
-// was admitted.
+// keyValid reports whether the configuration in force still admits a request: the
+// customer's key may have been revoked, or keys may be required since.
 func (f *Forwarder) keyValid(j *job) bool {
-	if j.customer == nil {
+	conf := f.opts.Knowledge.Config()
+	if j.route.Public || j.customer == nil && !conf.RequiresKey() {
 		return true
 	}
-	return f.opts.Knowledge.Config().Customers[j.request.Key] != nil
+	return conf.Customers[j.request.Key] != nil
 }
 
 // refusal returns the result for a request that no backend server has answered.
--- a/core/forward/admit_test.go
+++ b/core/forward/admit_test.go
@@ -21,6 +21,25 @@
 		{"a known key", func(*fakePlatform, *sequoialead.ProxyRequest) {}, 0, ""},
 		{"an unknown key", func(_ *fakePlatform, p *sequoialead.ProxyRequest) { p.Key = "other" }, 401, sequoialead.ReasonKey},
 		{"no key", func(_ *fakePlatform, p *sequoialead.ProxyRequest) { p.Key = "" }, 401, sequoialead.ReasonKey},
+		{"the last key was revoked", func(w *fakePlatform, _ *sequoialead.ProxyRequest) {
+			w.config.Customers = map[string]*proxyconfig.Customer{}
+		}, 401, sequoialead.ReasonKey},
+		{"no key, and the last one was revoked", func(w *fakePlatform, p *sequoialead.ProxyRequest) {
+			p.Key = ""
+			w.config.Customers = map[string]*proxyconfig.Customer{}
+		}, 401, sequoialead.ReasonKey},
+		{"the last key was revoked, and the last read of the store is too old", func(w *fakePlatform, p *sequoialead.ProxyRequest) {
+			w.config.Customers = map[string]*proxyconfig.Customer{}
+			p.ArrivedAt = w.now.Add(4800 * time.Millisecond)
+		}, 503, sequoialead.ReasonStale},
+		{"a public route after the last key was revoked", func(w *fakePlatform, _ *sequoialead.ProxyRequest) {
+			w.config.Customers = map[string]*proxyconfig.Customer{}
+			w.config.Routes["h"][0].Public = true
+		}, 0, ""},
+		{"no customers are configured", func(w *fakePlatform, p *sequoialead.ProxyRequest) {
+			p.Key = ""
+			w.config.Customers = nil
+		}, 0, ""},
 		{"no key on a public route", func(w *fakePlatform, p *sequoialead.ProxyRequest) {
 			p.Key = ""
 			w.config.Routes["h"][0].Public = true
--- a/core/forward/stages_test.go
+++ b/core/forward/stages_test.go
@@ -141,24 +141,50 @@
 	c.Assert(w.made, qt.HasLen, 0)
 }
 
-// A request is refused if its key is revoked while its stages run.
+// A request is refused if its key is revoked, or keys are required, while its stages run.
 func TestRevokedKeyIsRefusedBeforeSend(t *testing.T) {
-	c := qt.New(t)
-	w := newFakePlatform()
-	w.setRoute(stagedRoute())
-	w.onMake = func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		without := *w.config
-		without.Customers = map[string]*proxyconfig.Customer{"other": {Name: "other", Priority: -1}}
-		w.config = &without
+	other := map[string]*proxyconfig.Customer{"other": {Name: "other", Priority: -1}}
+	tests := []struct {
+		desc   string
+		public bool
+		before map[string]*proxyconfig.Customer
+		after  map[string]*proxyconfig.Customer
+		status int
+	}{
+		{"other keys remain", false, newFakePlatform().config.Customers, other, http.StatusUnauthorized},
+		{"no key remains", false, newFakePlatform().config.Customers, map[string]*proxyconfig.Customer{}, http.StatusUnauthorized},
+		{"no customers were configured", false, nil, other, http.StatusUnauthorized},
+		{"no customers are configured any more", false, newFakePlatform().config.Customers, nil, http.StatusUnauthorized},
+		{"a public route", true, newFakePlatform().config.Customers, other, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			w := newFakePlatform()
+			route := stagedRoute()
+			route.Public = test.public
+			w.setRoute(route)
+			w.config.Customers = test.before
+			w.script = []string{"events"}
+			w.onMake = func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				changed := *w.config
+				changed.Customers = test.after
+				w.config = &changed
+			}
+			p := newProxyRequest(w)
+			p.Pieces, p.PieceKey = []int{1, 1, 1}, "k"
+			v := w.newForwarder(t).Serve(context.Background(), p, &recordingSink{})
+			c.Assert(v.Status, qt.Equals, test.status)
+			if test.status == 0 {
+				c.Assert(w.attempts, qt.HasLen, 1)
+				return
+			}
+			c.Assert(v.Reason, qt.Equals, sequoialead.ReasonKey)
+			c.Assert(w.attempts, qt.HasLen, 0)
+		})
 	}
-	p := newProxyRequest(w)
-	p.Pieces, p.PieceKey = []int{1, 1, 1}, "k"
-	v := w.newForwarder(t).Serve(context.Background(), p, &recordingSink{})
-	c.Assert(v.Status, qt.Equals, http.StatusUnauthorized)
-	c.Assert(v.Reason, qt.Equals, sequoialead.ReasonKey)
-	c.Assert(w.attempts, qt.HasLen, 0)
 }
 
 // An entry that exits refuses the requests whose stages are still running, so that
--- a/core/proxyconfig/proxyconfig.go
+++ b/core/proxyconfig/proxyconfig.go
@@ -145,7 +145,8 @@
 	// prefix.
 	Routes map[string][]*Route
 	Pools  map[string]*Pool
-	// Customers maps keys to customers; empty if requests need no key.
+	// Customers maps keys to customers. It is nil if requests need no key, and empty if
+	// they need one and none is valid.
 	Customers map[string]*Customer
 	Limits    Limits
 }
@@ -162,8 +163,9 @@
 	return nil
 }
 
-// RequiresKey reports whether requests need a key.
-func (c *Config) RequiresKey() bool { return len(c.Customers) > 0 }
+// RequiresKey reports whether requests need a key, except on public routes. They also do
+// where no key is valid, so that revoking the last one doesn't admit everybody.
+func (c *Config) RequiresKey() bool { return c.Customers != nil }
 
 // Host returns a host's name in lower case and without its port.
 func Host(host string) string {
--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -69,7 +69,7 @@
 		return
 	}
 	w.config = next
-	w.opts.Log.Info("version", "version", next.Version, "offset", item.Offset)
+	w.opts.Log.Info("version", "version", next.Version, "offset", item.Offset, "keys", len(next.Customers), "required", next.RequiresKey())
 }
 
 // applyServers applies records of backend servers. After a complete read, backend
--- a/testscripts/versions_test.go
+++ b/testscripts/versions_test.go
@@ -10,6 +10,37 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// TestLastKeyRevokedLocksCallersOut guards against routes that are open to everyone once the
+// last key has been revoked.
+func TestLastKeyRevokedLocksCallersOut(t *testing.T) {
+	for _, tenants := range []string{`[{"name":"mere","api_keys":[]}]`, `[{"name":"mere"}]`, `[]`} {
+		t.Run(tenants, func(t *testing.T) {
+			c := qt.New(t)
+			g := newGateways(t, 2)
+			text := fmt.Sprintf(configTemplate, 2, 500, "")
+			start := strings.Index(text, `"tenants":`)
+			g.store.Put("keyed.op", "config", []byte(text[:start]+`"tenants":`+tenants+`}`))
+			for _, p := range g.procs {
+				g.waitFor("the key is refused", func() bool {
+					status, _, _ := g.sendRequest(p, "GET", "/check/", "revoked", "k1")
+					return status == 401
+				})
+				for _, key := range []string{"k1", "k9", ""} {
+					for n := range 5 {
+						status, _, _ := g.sendRequest(p, "POST", "/hold/x", fmt.Sprintf("after%d", n), key)
+						c.Check(status, qt.Equals, 401, qt.Commentf("key %q", key))
+					}
+				}
+			}
+			for _, id := range []string{"desk-1", "desk-2"} {
+				for _, arrival := range g.backends[id].Arrivals() {
+					c.Check(strings.HasPrefix(arrival.ID, "after"), qt.IsFalse, qt.Commentf("%s ran", arrival.ID))
+				}
+			}
+		})
+	}
+}
+
 // TestManyLargeVersionsRevokeInTime guards against a key that is accepted for seconds after
 // it was revoked, because a gateway takes the part of the versions that fits into one answer
 // of the store for all of them.
