http1, forward, engine: Bound what is kept of an answer by its use

A report of other operators: bytes without end in a head or a body fill the memory of the machine that called, and its process ends. Here each answer was bounded, but 300 at a time were not: on the smallest machine (184 MB) a gateway came to 199 MB on slow heads of short headers, and to 170 MB on slow events without end.

Cause: a head of 64 KB holds 16,000 short headers of 150 bytes each once parsed; an event was held back up to 1 MB and copied at each read; a call's answer had 1 MB whatever it asked for; agents took heads of 10 MB.

--- a/core/forward/body_test.go
+++ b/core/forward/body_test.go
@@ -1,10 +1,17 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
+	"net/http"
 	"sync"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
 
 	"sequoialead"
+	"sequoialead/core/proxyconfig"
 )
 
 // fakeBody is an answer that arrives in the given parts and then ends with err.
@@ -73,3 +80,29 @@
 }
 func (b *hangingBody) Buffered() int { return 0 }
 func (b *hangingBody) Close() error  { return nil }
+
+// endlessEvent answers each request with an event that has no end. It counts the bytes read.
+type endlessEvent struct{ read atomic.Int64 }
+
+func (e *endlessEvent) Exchange(context.Context, sequoialead.ProxyAttempt) (*sequoialead.Response, error) {
+	return &sequoialead.Response{Status: http.StatusOK, Header: http.Header{}, Stamped: true, Body: e}, nil
+}
+func (e *endlessEvent) Buffered() int { return 0 }
+func (e *endlessEvent) Close() error  { return nil }
+func (e *endlessEvent) Read(p []byte) (int, error) {
+	n := copy(p, bytes.Repeat([]byte{'x'}, 100))
+	e.read.Add(int64(n))
+	return n, nil
+}
+
+// An event without end is held in memory until it is given up, which must be early: an entry
+// has many streams at a time.
+func TestEventWithoutEndIsGivenUpEarly(t *testing.T) {
+	c := qt.New(t)
+	w := newFakePlatform()
+	w.setRoute(proxyconfig.Route{Kind: proxyconfig.KindStream, Resumable: true, MaxAttempts: 1, Pools: []proxyconfig.WeightedPool{{Pool: "desk", Weight: 1}}})
+	e := &endlessEvent{}
+	v := w.newForwarderTo(t, e).Serve(context.Background(), newProxyRequest(w), &recordingSink{})
+	c.Assert(v.Status, qt.Equals, http.StatusBadGateway)
+	c.Assert(e.read.Load() <= 100<<10, qt.IsTrue, qt.Commentf("%d bytes were read", e.read.Load()))
+}
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -24,8 +24,9 @@
 	// copyBufferBytes is the size of the buffer that answers are copied through.
 	copyBufferBytes = 16 << 10
 	// maxEventBytes is the maximum size of one event of a resumable stream. Only whole
-	// events are passed on, so an event without end would be held in memory.
-	maxEventBytes = 1 << 20
+	// events are passed on, so an event without end would be held in memory, for each
+	// stream in flight.
+	maxEventBytes = 64 << 10
 	// maxDiscardBytes and discardTimeout bound the rest of an answer that is read only to
 	// keep its connection.
 	maxDiscardBytes = 64 << 10
--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -12,8 +12,10 @@
 // Splitter buffers incomplete events of one stream. It is not safe for concurrent
 // use.
 type Splitter struct {
-	// partial holds the received part of an incomplete event.
-	partial []byte
+	// partial holds the received part of an incomplete event, after the first returned
+	// bytes, which the last call of Feed has returned.
+	partial  []byte
+	returned int
 	// lastID is the ID of the latest complete event that has one.
 	lastID string
 }
@@ -24,17 +26,15 @@
 // Feed adds bytes of the stream and returns the events that are now complete. The
 // returned slice is valid until the next call.
 func (s *Splitter) Feed(data []byte) []byte {
-	if len(s.partial) > 0 {
-		s.partial = append(s.partial, data...)
-		data = s.partial
-	}
-	end := completeLength(data)
-	complete := data[:end]
-	if end > 0 {
-		s.updateLastID(complete)
+	s.partial = append(s.partial[:0], s.partial[s.returned:]...)
+	searched := max(len(s.partial)-maxSkimmed, 0)
+	s.partial = append(s.partial, data...)
+	s.returned = 0
+	if end := completeLength(s.partial[searched:]); end > 0 {
+		s.returned = searched + end
+		s.updateLastID(s.partial[:s.returned])
 	}
-	s.partial = append([]byte(nil), data[end:]...)
-	return complete
+	return s.partial[:s.returned]
 }
 
 // Skim notes bytes of the stream that are passed on as they come, without holding back an
@@ -49,7 +49,7 @@
 
 // Pending returns the number of bytes of the incomplete event; at most maxSkimmed after
 // Skim.
-func (s *Splitter) Pending() int { return len(s.partial) }
+func (s *Splitter) Pending() int { return len(s.partial) - s.returned }
 
 // LastID returns the ID of the latest complete event that has one, or an empty
 // string.
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -37,10 +37,13 @@
 
 const (
 	// chunkBytes is the size of the chunks that a body is delivered in.
-	chunkBytes    = 16 << 10
-	maxEventBytes = 1 << 20
-	maxIdleConns  = 256
-	doneEvent     = "[DONE]"
+	chunkBytes = 16 << 10
+	// maxEventBytes is the maximum size of an event, and of the answer to a health check.
+	maxEventBytes = 64 << 10
+	// maxHeadBytes is the maximum size of the head of an answer.
+	maxHeadBytes = 32 << 10
+	maxIdleConns = 256
+	doneEvent    = "[DONE]"
 	// defaultBootID stands for the run of a backend server that reports none.
 	defaultBootID = "unnamed"
 	// maxDetailBytes is the length to which the body of an error answer is cut
@@ -80,8 +83,8 @@
 
 // New returns a client of the backend server at an address.
 func New(addr netip.AddrPort) *Client {
-	reusing := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
-	oneShot := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	reusing := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+	oneShot := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{addr: addr, reusing: &http.Client{Transport: reusing}, oneShot: &http.Client{Transport: oneShot}}
 }
 
@@ -224,7 +227,7 @@
 		}
 		var c Completion
 		if err := json.Unmarshal([]byte(data), &c); err != nil || len(c.Choices) == 0 {
-			return end, sequoialead.ErrFailed.New("the backend server sent an event that is not a completion: %q; see its own logs", data)
+			return end, sequoialead.ErrFailed.New("the backend server sent an event that is not a completion: %q; see its own logs", data[:min(len(data), maxDetailBytes)])
 		}
 		end.Tokens++
 		if err := reply.Chunk([]byte(c.Choices[0].Text)); err != nil {
--- a/io/http1/do.go
+++ b/io/http1/do.go
@@ -21,25 +21,30 @@
 
 var errHeadTooLong = errors.New("the status line and headers of the response are too long")
 
-// headLimiter fails reads beyond a number of bytes while it is enabled, which
+// headLimiter fails reads beyond a number of bytes or lines while it is enabled, which
 // it is while a response's head is read.
 type headLimiter struct {
 	r         io.Reader
 	enabled   bool
-	remaining int
+	bytesLeft int
+	linesLeft int
 }
 
-// Read reads from the connection. The error is errHeadTooLong once the limit
-// is reached.
+// reset sets the limits for the next head.
+func (l *headLimiter) reset() { l.bytesLeft, l.linesLeft = maxHeadBytes, maxHeadLines }
+
+// Read reads from the connection. The error is errHeadTooLong once a limit is reached. It
+// may read beyond the head, but not again.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.enabled {
 		return l.r.Read(p)
 	}
-	if l.remaining <= 0 {
+	if l.bytesLeft <= 0 || l.linesLeft <= 0 {
 		return 0, errHeadTooLong
 	}
 	n, err := l.r.Read(p)
-	l.remaining -= n
+	l.bytesLeft -= n
+	l.linesLeft -= bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
@@ -183,7 +188,7 @@
 
 // readHead reads a response's head, and discards interim (1xx) responses.
 func (k *conn) readHead(method string) (*http.Response, error) {
-	k.headLimit.remaining = maxHeadBytes
+	k.headLimit.reset()
 	for {
 		k.headLimit.enabled = true
 		raw, err := http.ReadResponse(k.r, &http.Request{Method: method})
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -38,9 +38,11 @@
 	// keepMargin is subtracted from the peer's Keep-Alive timeout, so that no
 	// request is sent while the peer is closing the connection.
 	keepMargin = 500 * time.Millisecond
-	// maxHeadBytes is the maximum size of a response's status line and headers,
-	// interim responses included.
-	maxHeadBytes = 64 << 10
+	// maxHeadBytes and maxHeadLines are the maximum size and number of lines of a
+	// response's status line and headers, interim responses included. Each line takes far
+	// more memory than its bytes.
+	maxHeadBytes = 32 << 10
+	maxHeadLines = 256
 	// maxDiscardBytes is the maximum size of a response to another request that is
 	// discarded. A larger one ends the connection.
 	maxDiscardBytes = 64 << 10
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -255,6 +256,47 @@
 	}
 }
 
+// The lines of a head count as well as its bytes, since each takes memory of its own. The
+// body that comes with a head doesn't count.
+func TestHeadLimits(t *testing.T) {
+	lines := func(n int) string { return strings.Repeat("X: y\r\n", n) }
+	tests := []struct {
+		desc    string
+		headers string
+		body    string
+		whole   bool
+	}{
+		{"many lines", lines(200), "body", true},
+		{"too many lines", lines(1000), "body", false},
+		{"many bytes", "X: " + strings.Repeat("y", 30<<10) + "\r\n", "body", true},
+		{"too many bytes", "X: " + strings.Repeat("y", 40<<10) + "\r\n", "body", false},
+		{"a body of many lines", "", strings.Repeat("\n", 50), true},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			p := newFakeServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				for {
+					if _, _, err := readRequest(r); err != nil {
+						return
+					}
+					write(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: mine\r\n%sContent-Length: %d\r\n\r\n%s", test.headers, len(test.body), test.body))
+				}
+			})
+			client := newClient(t)
+			for range 3 { // the limits start anew with each head of a connection
+				body, err := roundTrip(client, p.addr)
+				if test.whole {
+					c.Assert(err, qt.IsNil)
+					c.Assert(body, qt.Equals, test.body)
+					continue
+				}
+				c.Assert(errorx.IsOfType(err, sequoialead.ErrLost), qt.IsTrue, qt.Commentf("%v", err))
+			}
+		})
+	}
+}
+
 // roundTripTimeout bounds a request, so that a hang fails the test that
 // caused it.
 const roundTripTimeout = 10 * time.Second
--- a/testscripts/gateway_test.go
+++ b/testscripts/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -45,8 +46,13 @@
 	proxies []*proxy.Proxy
 	// revocationTimeout is the time within which a removed API key must be refused.
 	revocationTimeout time.Duration
+	// memory is the maximum memory of a gateway in MB; 0 for gatewayMemory.
+	memory int
 }
 
+// gatewayMemory is the maximum memory of a gateway in MB unless a test sets another.
+const gatewayMemory = 256
+
 type gatewayProcess struct {
 	// stopping is set from the signal that ends the process until its next start.
 	stopping   bool
@@ -176,8 +182,8 @@
 	p := &gatewayProcess{index: i, addrs: addrs, callerAddr: addrs[0], readyAddr: addrs[1]}
 	p.configPath = filepath.Join(g.dir, fmt.Sprintf("gateway-%d.ini", i))
 	p.logPath = filepath.Join(g.dir, fmt.Sprintf("gateway-%d.log", i))
-	text := fmt.Sprintf("name = e%d\ndomain = a\naddr = %s\nready = %s\npeers = %s\nreach = %s\nstore = %s\ngrace = 5s\nextra = 50\nrevoke = %s\n",
-		i, addrs[0], addrs[1], addrs[2], g.addProxy(addrs[2]), g.addProxy(g.storeAddr), g.revocationTimeout)
+	text := fmt.Sprintf("name = e%d\ndomain = a\naddr = %s\nready = %s\npeers = %s\nreach = %s\nstore = %s\ngrace = 5s\nextra = 50\nrevoke = %s\nmemory = %d\n",
+		i, addrs[0], addrs[1], addrs[2], g.addProxy(addrs[2]), g.addProxy(g.storeAddr), g.revocationTimeout, cmp.Or(g.memory, gatewayMemory))
 	qt.Assert(g.t, os.WriteFile(p.configPath, []byte(text), 0o600), qt.IsNil)
 	g.startProcess(p)
 	g.procs = append(g.procs, p)
