engine: Report truncated answers as lost

A report of other operators: a backend server stopped inside its answer's head and closed, and callers got a 200 with an empty or short body that looked whole. Agents of the product's own deployments took a body that was cut after its head, also an empty one, for the whole answer.

Cause: deliverBody took io.ErrUnexpectedEOF for the short last chunk of io.ReadFull; net/http returns the same error for a truncated body. A stream that ended inside an event was called failed, not lost.

Change: only io.EOF ends a body; an event that can't be read in a line without end is a lost answer.

Before: all three parts of TestAnswerCutAnywhereIsLost failed.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -191,21 +191,26 @@
 	return nil
 }
 
-// deliverBody passes a body to reply in chunks of chunkBytes.
+// deliverBody passes a body to reply in chunks of chunkBytes. Only io.EOF is the end of a
+// body; net/http reports one that is truncated by io.ErrUnexpectedEOF.
 func deliverBody(body io.Reader, reply sequoialead.Reply) error {
 	for {
-		chunk := make([]byte, chunkBytes)
-		n, err := io.ReadFull(body, chunk)
+		chunk, n := make([]byte, chunkBytes), 0
+		var err error
+		for n < len(chunk) && err == nil {
+			var read int
+			read, err = body.Read(chunk[n:])
+			n += read
+		}
 		if n > 0 {
 			if chunkErr := reply.Chunk(chunk[:n]); chunkErr != nil {
 				return chunkErr
 			}
 		}
-		switch err {
-		case nil:
-		case io.EOF, io.ErrUnexpectedEOF:
+		switch {
+		case errors.Is(err, io.EOF):
 			return nil
-		default:
+		case err != nil:
 			return sequoialead.ErrLost.Wrap(err, "the answer was truncated; see the backend server's own logs")
 		}
 	}
@@ -217,6 +222,11 @@
 	var end sequoialead.End
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, scannerBuffer), maxEventBytes)
+	truncated := false // the current line has no end
+	scanner.Split(func(data []byte, atEOF bool) (int, []byte, error) {
+		truncated = atEOF && bytes.IndexByte(data, '\n') < 0
+		return bufio.ScanLines(data, atEOF)
+	})
 	for scanner.Scan() {
 		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
 		if !ok {
@@ -226,7 +236,11 @@
 			return end, nil
 		}
 		var c Completion
-		if err := json.Unmarshal([]byte(data), &c); err != nil || len(c.Choices) == 0 {
+		err := json.Unmarshal([]byte(data), &c)
+		if err != nil && truncated {
+			return end, sequoialead.ErrLost.Wrap(err, "the stream ended inside an event; see the backend server's own logs")
+		}
+		if err != nil || len(c.Choices) == 0 {
 			return end, sequoialead.ErrFailed.New("the backend server sent an event that is not a completion: %q; see its own logs", data[:min(len(data), maxDetailBytes)])
 		}
 		end.Tokens++
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
 
 	"sequoialead"
 	"sequoialead/io/engine"
@@ -62,6 +64,42 @@
 	return r.text.String(), err
 }
 
+// A backend server that closes its connection before the end of an answer has not answered,
+// wherever that is: a part of an answer must not pass for all of it.
+func TestAnswerCutAnywhereIsLost(t *testing.T) {
+	const event = "data: {\"choices\":[{\"text\":\"x\"}]}\n\n"
+	const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := []struct {
+		desc   string
+		op     sequoialead.Op
+		answer string
+		want   string
+	}{
+		{"a body with its length", sequoialead.OpInvoke, "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 12\r\n\r\nwhole answer", "whole answer"},
+		{"a body of chunks", sequoialead.OpInvoke, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nwhole \r\n6\r\nanswer\r\n0\r\n\r\n", "whole answer"},
+		{"events", sequoialead.OpGenerate, streamHead + fmt.Sprintf("%x\r\n%s\r\n", len(event), event) + "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", "x"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			for _, idempotent := range []bool{false, true} {
+				for length := range len(test.answer) + 1 {
+					c := qt.New(t)
+					addr := newRawServer(t, func(conn net.Conn) { _, _ = io.WriteString(conn, test.answer[:length]) })
+					text, err := do(t, addr, test.op, idempotent)
+					if err == nil {
+						// All events were there before the end of the framing.
+						whole := length == len(test.answer) || test.op == sequoialead.OpGenerate && strings.Contains(test.answer[:length], "[DONE]")
+						c.Assert(whole && text == test.want, qt.IsTrue, qt.Commentf("%q passed for an answer after %q", text, test.answer[:length]))
+						continue
+					}
+					c.Assert(length < len(test.answer), qt.IsTrue, qt.Commentf("%v", err))
+					c.Assert(errorx.IsOfType(err, sequoialead.ErrLost), qt.IsTrue, qt.Commentf("%v", err))
+				}
+			}
+		})
+	}
+}
+
 // Bytes without end are no answer, and are not kept.
 func TestBytesWithoutEnd(t *testing.T) {
 	long := strings.Repeat("x", 16<<10)
