--- a/testscripts/stop_test.go
+++ b/testscripts/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -15,7 +17,8 @@
 
 // TestPlannedStopCutsNoRequest guards against a stopping gateway that passes requests on
 // which cannot end before its process does, and cuts them without an answer. Callers open
-// new connections until the process is gone, as a balancer does that has too few others.
+// new connections until the process is gone, as a balancer does that has too few others, or go
+// on with those that they have.
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	tests := []struct {
 		desc   string
@@ -24,11 +27,15 @@
 		// work is the time that a backend server takes, and pause the time between requests.
 		work  time.Duration
 		pause time.Duration
+		// kept is set if connections are used for as many requests as they bear.
+		kept bool
 	}{
-		{"requests that may not be repeated", "POST", "/hold/x", 600 * time.Millisecond, 20 * time.Millisecond},
-		{"requests that may be repeated", "GET", "/check/x", 600 * time.Millisecond, 20 * time.Millisecond},
-		{"requests that take longer than the stop", "POST", "/hold/x", 1900 * time.Millisecond, 50 * time.Millisecond},
-		{"requests with nothing in flight between them", "POST", "/hold/x", 250 * time.Millisecond, 260 * time.Millisecond},
+		{"requests that may not be repeated", "POST", "/hold/x", 600 * time.Millisecond, 20 * time.Millisecond, false},
+		{"requests that may be repeated", "GET", "/check/x", 600 * time.Millisecond, 20 * time.Millisecond, false},
+		{"requests that take longer than the stop", "POST", "/hold/x", 1900 * time.Millisecond, 50 * time.Millisecond, false},
+		{"requests with nothing in flight between them", "POST", "/hold/x", 250 * time.Millisecond, 260 * time.Millisecond, false},
+		{"requests on kept connections", "POST", "/hold/x", 600 * time.Millisecond, 20 * time.Millisecond, true},
+		{"requests that are rare, on kept connections", "POST", "/hold/x", 200 * time.Millisecond, 330 * time.Millisecond, true},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -47,6 +54,12 @@
 			unanswered := map[string]time.Duration{}
 			statuses := map[int]int{}
 			var callers sync.WaitGroup
+			client := &http.Transport{DisableKeepAlives: !test.kept, MaxIdleConnsPerHost: 100}
+			defer client.CloseIdleConnections()
+			for n := range 20 { // opens the connections that are kept
+				callers.Go(func() { _ = g.sendThrough(client, p, test.method, test.path, fmt.Sprintf("w%d", n)) })
+			}
+			callers.Wait()
 			stopped := make(chan struct{})
 			c.Assert(p.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
 			start := time.Now()
@@ -59,7 +72,7 @@
 					}
 					callers.Go(func() {
 						id, sentAt := fmt.Sprintf("s%d", n), time.Since(start)
-						status := g.sendAlone(p, test.method, test.path, id)
+						status := g.sendThrough(client, p, test.method, test.path, id)
 						mu.Lock()
 						defer mu.Unlock()
 						statuses[status]++
@@ -82,12 +95,10 @@
 	}
 }
 
-// sendAlone sends a request on a connection of its own and returns the status of the
-// answer; 0 if there is none.
-func (g *gatewaySite) sendAlone(p *gatewayProcess, method, path, id string) int {
-	transport := &http.Transport{DisableKeepAlives: true}
-	defer transport.CloseIdleConnections()
-	r, err := http.NewRequest(method, "http://"+p.callerAddr.String()+path, nil)
+// sendThrough sends a request through a client, which doesn't send it again, and returns the
+// status of the answer; 0 if there is none.
+func (g *gatewaySite) sendThrough(client *http.Transport, p *gatewayProcess, method, path, id string) int {
+	r, err := http.NewRequest(method, "http://"+p.callerAddr.String()+path, strings.NewReader("body"))
 	if err != nil {
 		g.t.Error(err)
 		return 0
@@ -96,10 +107,12 @@
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Deadline", "2000")
 	r.Header.Set("Authorization", "Token k1")
-	response, err := transport.RoundTrip(r)
+	r.GetBody = nil
+	response, err := client.RoundTrip(r)
 	if err != nil {
 		return 0
 	}
-	_ = response.Body.Close() // the status alone is of interest
+	_, _ = io.Copy(io.Discard, response.Body) // the status alone is of interest
+	_ = response.Body.Close()
 	return response.StatusCode
 }
