forward: Look up the customer again before a send

Found by reading; no caller has reported it.

Cause: the check before the send asked only whether the key is still known. Change: it also takes the customer that holds the key now.

Before: TestKeyThatChangesHandsBeforeSend saw "mere" instead of "rata". After: it passes.

--- a/core/forward/admit.go
+++ b/core/forward/admit.go
@@ -147,14 +147,16 @@
 	}
 }
 
-// keyValid reports whether the configuration in force still admits a request: the
-// customer's key may have been revoked, or keys may be required since.
-func (f *Forwarder) keyValid(j *job) bool {
+// refreshCustomer looks up the request's key again and reports whether the configuration in
+// force still admits the request: the key may have been revoked or given to another customer,
+// or keys may be required since.
+func (f *Forwarder) refreshCustomer(j *job) bool {
 	conf := f.opts.Knowledge.Config()
 	if j.route.Public || j.customer == nil && !conf.RequiresKey() {
 		return true
 	}
-	return conf.Customers[j.request.Key] != nil
+	j.customer = conf.Customers[j.request.Key]
+	return j.customer != nil
 }
 
 // refusal returns the result for a request that no backend server has answered.
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -86,7 +86,7 @@
 		if place == nil {
 			return j.refusal(reason)
 		}
-		if !f.keyValid(j) {
+		if !f.refreshCustomer(j) {
 			f.releasePlace(j, place, pool.EndAbandoned, nil)
 			if j.mayHaveRun || j.headSent {
 				return j.refusal(sequoialead.ReasonKey)
--- a/core/forward/stages_test.go
+++ b/core/forward/stages_test.go
@@ -187,6 +187,28 @@
 	}
 }
 
+// The backend server is told the customer that holds the key when the request is sent, not the
+// one that held it when the request arrived.
+func TestKeyThatChangesHandsBeforeSend(t *testing.T) {
+	c := qt.New(t)
+	w := newFakePlatform()
+	w.setRoute(stagedRoute())
+	w.script = []string{"events"}
+	w.onMake = func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		changed := *w.config
+		changed.Customers = map[string]*proxyconfig.Customer{"key": {Name: "rata", Priority: -1}}
+		w.config = &changed
+	}
+	p := newProxyRequest(w)
+	p.Pieces, p.PieceKey = []int{1, 1, 1}, "k"
+	v := w.newForwarder(t).Serve(context.Background(), p, &recordingSink{})
+	c.Assert(v.Status, qt.Equals, 0)
+	c.Assert(w.attempts, qt.HasLen, 1)
+	c.Assert(w.attempts[0].Customer, qt.Equals, "rata")
+}
+
 // An entry that exits refuses the requests whose stages are still running, so that
 // every caller gets an answer.
 func TestExitingEntryRefusesUnsentRequests(t *testing.T) {
