platform: Tell late second answers to calls by their handles

Cause: requests have an ID that answers repeat, calls for pieces have none.

Change: no server gives two results one handle, so an answer that names a result of another piece, which came on the same connection, is a second copy: the call is lost and the connection closed. A connection is kept only after an answer that names a result; http1 holds it until then.

--- a/io/http1/do.go
+++ b/io/http1/do.go
@@ -59,8 +59,10 @@
 	// encoding, so that it ends with its connection.
 	CloseDelimited bool
 	// Reused is set if the connection had carried an earlier response, of which a faulty
-	// peer may have sent a second copy.
+	// peer may have sent a second copy. Conn is the connection's number among those of the
+	// client.
 	Reused bool
+	Conn   uint64
 
 	client *Client
 	conn   *conn
@@ -72,8 +74,10 @@
 	bodySent chan struct{}
 	// keepAlive is set if the peer keeps the connection open after the response.
 	keepAlive bool
-	once      sync.Once
-	ended     bool
+	// hold is Request.Hold, and ended is set once the body was read to its end.
+	hold  bool
+	ended bool
+	once  sync.Once
 }
 
 // Do sends a request and reads the head of its response. The error is
@@ -133,6 +137,7 @@
 	}
 	response.client = c
 	response.bodySent = bodySent
+	response.hold = req.Hold
 	return response, nil
 }
 
@@ -180,7 +185,7 @@
 		k.applyKeepAlive(raw.Header)
 		return &Response{
 			Status: raw.StatusCode, Header: raw.Header, ContentLength: raw.ContentLength,
-			CloseDelimited: !framed, Reused: k.used, conn: k, body: raw.Body, keepAlive: framed && !raw.Close,
+			CloseDelimited: !framed, Reused: k.used, Conn: k.number, conn: k, body: raw.Body, keepAlive: framed && !raw.Close,
 		}, nil
 	}
 	return nil, errors.New("received only responses to other requests")
@@ -221,7 +226,10 @@
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if errors.Is(err, io.EOF) {
-		r.release()
+		r.ended = true
+		if !r.hold {
+			r.release()
+		}
 	} else if err != nil {
 		err = lostType(err).Wrap(err, "the response from %s was truncated", r.conn.addr)
 	}
@@ -236,7 +244,6 @@
 // closes it otherwise.
 func (r *Response) release() {
 	r.once.Do(func() {
-		r.ended = true
 		stopped := r.stopWatching()
 		select {
 		case <-r.bodySent:
@@ -251,7 +258,16 @@
 	})
 }
 
-// Close closes the connection if the body was not read to its end.
+// Keep allows the connection to be reused after a request with Hold, if the body was read to
+// its end.
+func (r *Response) Keep() {
+	if r.ended {
+		r.release()
+	}
+}
+
+// Close closes the connection if the body was not read to its end, or Keep was not called
+// after a request with Hold.
 func (r *Response) Close() error {
 	var err error
 	r.once.Do(func() {
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -68,6 +68,9 @@
 	MaxIdle time.Duration
 	// Matches reports whether a response belongs to the request; nil if all do.
 	Matches func(status int, header http.Header) bool
+	// Hold keeps the connection from being reused until Response.Keep is called, for
+	// requests whose responses can be told from others by their bodies alone.
+	Hold bool
 }
 
 // Client sends requests to any number of peers and pools their idle
@@ -85,8 +88,10 @@
 
 type conn struct {
 	net.Conn
-	addr netip.AddrPort
-	r    *bufio.Reader
+	// number counts the connections of the client.
+	number uint64
+	addr   netip.AddrPort
+	r      *bufio.Reader
 	// headLimit limits the size of a response's head; r reads through it.
 	headLimit *headLimiter
 	// idleSince is when the connection became idle, and idleTimeout how long it
@@ -251,7 +256,8 @@
 	}
 	c.mu.Lock()
 	c.opened++
+	number := c.opened
 	c.mu.Unlock()
 	limit := &headLimiter{r: raw}
-	return &conn{Conn: raw, addr: addr, headLimit: limit, r: bufio.NewReaderSize(limit, readBufferBytes), idleTimeout: c.opts.IdleTimeout}, nil
+	return &conn{Conn: raw, number: number, addr: addr, headLimit: limit, r: bufio.NewReaderSize(limit, readBufferBytes), idleTimeout: c.opts.IdleTimeout}, nil
 }
