--- a/testscripts/cuthead_test.go
+++ b/testscripts/cuthead_test.go
@@ -1,14 +1,12 @@
 package testscripts
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,7 +20,6 @@
 // answer.
 type cuttingServer struct {
 	addr   netip.AddrPort
-	answer string
 	length atomic.Int64
 	// answered counts the requests.
 	answered atomic.Int64
@@ -31,32 +28,12 @@
 // newCuttingServer starts a server. The request's ID replaces IDENTITY in the answer, and has
 // as many bytes.
 func newCuttingServer(t *testing.T, answer string) *cuttingServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	s := &cuttingServer{addr: netip.MustParseAddrPort(l.Addr().String()), answer: answer}
-	var serving sync.WaitGroup
-	serving.Go(func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			serving.Go(func() {
-				defer func() { _ = conn.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				text := strings.ReplaceAll(s.answer, "IDENTITY", request.Header.Get("Request-Id"))
-				_, _ = io.WriteString(conn, text[:s.length.Load()])
-				s.answered.Add(1)
-			})
-		}
-	})
-	t.Cleanup(func() {
-		_ = l.Close()
-		serving.Wait()
+	s := &cuttingServer{}
+	s.addr = newRawServer(t, func(conn net.Conn, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		text := strings.ReplaceAll(answer, "IDENTITY", request.Header.Get("Request-Id"))
+		_, _ = io.WriteString(conn, text[:s.length.Load()])
+		s.answered.Add(1)
 	})
 	return s
 }
--- a/testscripts/endless_test.go
+++ b/testscripts/endless_test.go
@@ -1,7 +1,6 @@
 package testscripts
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -20,65 +19,20 @@
 	"sequoialead/fake/backend"
 )
 
-// endlessServer is a backend server that answers each request with bytes that have no end,
-// until its peer closes the connection.
-type endlessServer struct {
-	addr netip.AddrPort
-	// sent is the number of bytes sent.
-	sent  atomic.Int64
-	conns atomic.Int64
-}
-
-// newEndlessServer starts a server that sends first, and then what again returns for 0, 1 and
-// so on. The request's ID replaces ID in first.
-func newEndlessServer(t *testing.T, first string, again func(n int) string) *endlessServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	s := &endlessServer{addr: netip.MustParseAddrPort(l.Addr().String())}
-	var serving sync.WaitGroup
-	var mu sync.Mutex
-	var open []net.Conn
-	serving.Go(func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
+// newEndlessServer starts a backend server that answers each request with bytes that have no
+// end, until its peer closes the connection: first, in which the request's ID replaces ID, and
+// then what again returns for 0, 1 and so on.
+func newEndlessServer(t *testing.T, first string, again func(n int) string) netip.AddrPort {
+	return newRawServer(t, func(conn net.Conn, request *http.Request) {
+		go func() { _, _ = io.Copy(io.Discard, request.Body) }() // ends with the connection
+		data := strings.ReplaceAll(first, "ID", request.Header.Get("Request-Id"))
+		for n := 0; ; n++ {
+			if _, err := io.WriteString(conn, data); err != nil {
 				return
 			}
-			mu.Lock()
-			open = append(open, conn)
-			mu.Unlock()
-			s.conns.Add(1)
-			serving.Go(func() { s.answer(conn, first, again) })
+			data = again(n)
 		}
 	})
-	t.Cleanup(func() {
-		_ = l.Close()
-		mu.Lock()
-		for _, conn := range open {
-			_ = conn.Close()
-		}
-		mu.Unlock()
-		serving.Wait()
-	})
-	return s
-}
-
-func (s *endlessServer) answer(conn net.Conn, first string, again func(n int) string) {
-	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	go func() { _, _ = io.Copy(io.Discard, request.Body) }() // ends with the connection
-	data := strings.ReplaceAll(first, "ID", request.Header.Get("Request-Id"))
-	for n := 0; ; n++ {
-		written, err := io.WriteString(conn, data)
-		s.sent.Add(int64(written))
-		if err != nil {
-			return
-		}
-		data = again(n)
-	}
 }
 
 // peakMemory returns the most memory that a process has had, in MB.
@@ -100,10 +54,15 @@
 	loadTime = 1600 * time.Millisecond
 )
 
-// TestBytesWithoutEndDoNotFillMemory guards against a faulty backend server that sends bytes
-// which are no answer until its peer closes: a gateway that keeps them all runs out of memory,
-// and the other callers' requests end with it.
-func TestBytesWithoutEndDoNotFillMemory(t *testing.T) {
+// endlessAnswer is a kind of answer without end, and the pools whose servers send it.
+type endlessAnswer struct {
+	desc  string
+	pools []string
+	first string
+	again func(n int) string
+}
+
+func endlessAnswers() []endlessAnswer {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Stamp: s.ID\r\n"
 	constant := func(text string) func(int) string { return func(int) string { return text } }
 	long := strings.Repeat("x", 64<<10)
@@ -133,12 +92,7 @@
 			return b.String()
 		}
 	}
-	tests := []struct {
-		desc  string
-		pools []string
-		first string
-		again func(n int) string
-	}{
+	return []endlessAnswer{
 		{"from a model: many headers, slowly", models, head, slowly(some("X%d:\r\n"))},
 		{"from a model: an event, slowly", models, head + "Content-Type: text/event-stream\r\n\r\ndata: ", slowly(constant(long[:16<<10]))},
 		{"from a model: a body of chunks, slowly", models, head + "Transfer-Encoding: chunked\r\n\r\n", slowly(constant("1000\r\n" + long[:4<<10] + "\r\n"))},
@@ -166,7 +120,13 @@
 		{"a failure", every, "HTTP/1.1 500 Failed\r\nRequest-Id: ID\r\nResponse-Stamp: s.ID\r\n\r\n", constant(long)},
 		{"a list of items", every, "HTTP/1.1 200 OK\r\n\r\n{\"items\":[", constant(strings.Repeat("{},", 20000))},
 	}
-	for _, test := range tests {
+}
+
+// TestBytesWithoutEndDoNotFillMemory guards against a faulty backend server that sends bytes
+// which are no answer until its peer closes: a gateway that keeps them all runs out of memory,
+// and the other callers' requests end with it.
+func TestBytesWithoutEndDoNotFillMemory(t *testing.T) {
+	for _, test := range endlessAnswers() {
 		t.Run(test.desc, func(t *testing.T) {
 			c := qt.New(t)
 			g := startGateways(t, &gatewaySite{revocationTimeout: 5 * time.Second, memory: smallMemory}, 1)
@@ -174,9 +134,9 @@
 			g.store.Put("keyed.op", "config", []byte(wideConfig()))
 			for _, pool := range test.pools {
 				g.removeBackends(pool)
-				s := newEndlessServer(t, test.first, test.again)
+				addr := newEndlessServer(t, test.first, test.again)
 				for n := range 4 { // one server under several IDs gets as many requests as there are
-					g.putBackendRecord(fmt.Sprintf("%s-endless-%d", pool, n), pool, backend.Options{Slots: 64, Addr: s.addr.String()}, "ready")
+					g.putBackendRecord(fmt.Sprintf("%s-endless-%d", pool, n), pool, backend.Options{Slots: 64, Addr: addr.String()}, "ready")
 				}
 			}
 			time.Sleep(serversRead)
