batch: Return calls refused as full to the queue, and use estimates that recover

Cause: a call that a server refuses as full counted as a failure of its orders. After a simultaneous restart several entries lead the same servers, and 54 orders failed in one second for lack of retries.

Change: the pieces of a refused call (unsent, with the load in the answer, 503 or 429) go back to the queue. Each order takes a retry from the budget before its next call, and waits until there is one; the server is left alone for a time that grows with each refusal. A new leader starts with few calls, adds one for each that did not wait, and halves the number after a refusal (core/contention). An answer of another server (421) tells nothing of the load of the one that was meant. The queue uses core/calltime.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -115,11 +116,6 @@
 	// own failure domain, as a fraction of one full batch per led backend server.
 	// If the queue is longer, orders are made in any domain.
 	localWaitMaxLoad = 0.5
-	// sharedPeriod is how long backend servers are assumed to serve other entries
-	// too, after a change of the servers that this entry leads or a load report that
-	// shows other calls. It outlasts the calls that a previous leader may have in
-	// flight or may still start.
-	sharedPeriod = 2 * time.Second
 	// inputReadDelay is how long an otherwise idle backend server takes to read
 	// the inputs of a call: a few megabytes over its link, plus the latency.
 	inputReadDelay = 80 * time.Millisecond
@@ -141,6 +137,8 @@
 	// handingOver is set once other entries take over the backend servers that this
 	// one leads.
 	handingOver bool
+	// random returns a number from 0 to 1, which spreads the pauses after refusals.
+	random func() float64
 	// freeSignal is signalled when there are results to free.
 	freeSignal chan struct{}
 }
@@ -149,7 +147,7 @@
 
 // New returns a batcher. Call Start to let it free results.
 func New(opts Options) *Batcher {
-	return &Batcher{opts: opts, stats: callMetrics{set: opts.Metrics}, queues: map[string]*queue{}, rooms: newRoomTracker(), freeSignal: make(chan struct{}, 1)}
+	return &Batcher{opts: opts, stats: callMetrics{set: opts.Metrics}, queues: map[string]*queue{}, rooms: newRoomTracker(), random: rand.Float64, freeSignal: make(chan struct{}, 1)}
 }
 
 // Start begins to free discarded results in the background.
@@ -210,15 +208,15 @@
 // Backlog returns the load of a pool's queue, from which waiting times are
 // estimated, and the fraction of the room for results that is in use.
 func (b *Batcher) Backlog(name string) protocol.Backlog {
-	led, size, room := max(b.opts.Pools.LedServers(name), 1), 1, 0
+	led, pieces := max(b.opts.Pools.LedServers(name), 1), &proxyconfig.PieceLimits{MaxBatch: 1}
 	if conf := b.opts.Pools.Conf(name); conf != nil && conf.Pieces != nil {
-		size, room = conf.Pieces.MaxBatch, conf.Pieces.RoomBytes
+		pieces = conf.Pieces
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.queue(name).backlog(size, led)
-	if room > 0 {
-		l.RoomUsed = float64(b.rooms.heldByPool(name)) / float64(room*led)
+	l := b.queue(name).backlog(b.opts.Now(), pieces, led)
+	if pieces.RoomBytes > 0 {
+		l.RoomUsed = float64(b.rooms.heldByPool(name)) / float64(pieces.RoomBytes*led)
 	}
 	return l
 }
@@ -248,19 +246,20 @@
 		}
 		led := b.opts.Pools.LedServers(q.name)
 		q.updateLedServers(led, now)
-		if q.inFlight >= max(led, 1) {
+		if q.inFlight >= q.contention.Limit(max(led, 1), now) {
 			return // as many calls in flight as led backend servers, or one if none is led
 		}
 		if q.checkSizes(conf.Pieces.RoomBytes, now) {
 			continue
 		}
-		q.sort(now, conf.Pieces.MaxBatch, max(led, 1))
+		q.sort(now, conf.Pieces, max(led, 1))
+		q.takeRetries(func() bool { return b.opts.Pools.TakeRetry(q.name) })
 		place, room := b.findPlace(q, conf, now)
 		if place == nil {
 			b.dispatchLater(q)
 			return
 		}
-		c := &call{q: q, conf: conf, place: place, batch: q.takeBatch(conf.Pieces.MaxBatch, place.Server, room, b.localWaitFunc(q, conf, now))}
+		c := &call{q: q, conf: conf, place: place, shared: !place.Led || q.contention.Shared(place.Server.ID, now), batch: q.takeBatch(conf.Pieces.MaxBatch, place.Server, room, b.localWaitFunc(q, conf, now))}
 		if len(c.batch) == 0 {
 			b.opts.Pools.Release(q.name, place, pool.EndAbandoned, nil)
 			b.dispatchLater(q)
@@ -269,8 +268,11 @@
 		for _, p := range c.batch {
 			b.rooms.reserve(q.name, place.Server.ID, p.piece.Bytes)
 		}
+		q.times.Advance(q.state(now, max(led, 1)))
 		q.inFlight++
-		q.observeCallSize(len(c.batch))
+		if len(q.orders) > 0 {
+			q.times.RecordLoaded(conf.Pieces, len(c.batch), q.state(now, max(led, 1)))
+		}
 		b.stats.observeWaits(q.name, c.batch, now)
 		b.notifyInputsRead(c)
 		b.tomb.Go(func() error {
--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -7,6 +7,7 @@
 	"github.com/joomcode/errorx"
 
 	"sequoialead"
+	"sequoialead/core/calltime"
 	"sequoialead/core/pool"
 	"sequoialead/core/proxyconfig"
 )
@@ -17,6 +18,11 @@
 	conf  *proxyconfig.Pool
 	place *pool.Place
 	batch []*pendingPiece
+	// shared is set if other entries may have had calls at the backend server when the
+	// call was sent, so that it may have waited for them.
+	shared bool
+	// refused is set if the backend server refused the call as full.
+	refused bool
 }
 
 // runCall makes one batch at a backend server and settles each of its pieces.
@@ -27,16 +33,17 @@
 		pieces[i] = p.piece
 		pieces[i].TimeLeft = max(p.parent.order.ExpiresAt.Sub(now), time.Millisecond)
 	}
-	configured := configuredCallTime(c.conf.Pieces, len(c.batch))
+	configured := calltime.Configured(c.conf.Pieces, float64(len(c.batch)))
 	ctx, cancel := context.WithTimeout(b.tomb.Context(context.Background()), timeoutFactor*configured+transferAllowance)
 	defer cancel()
 	results, said, err := b.opts.Maker.Make(ctx, c.place.Server, pieces)
 	end := pool.EndDone
+	c.refused = errorx.IsOfType(err, sequoialead.ErrUnsent) && (said.Refused || said.Load != nil || said.Notice.HoldOff > 0)
 	switch {
-	case errorx.IsOfType(err, sequoialead.ErrUnsent) && said.Load == nil && said.Notice.HoldOff == 0:
-		end = pool.EndUnreachable
-	case errorx.IsOfType(err, sequoialead.ErrUnsent):
+	case c.refused:
 		end = pool.EndRefused
+	case errorx.IsOfType(err, sequoialead.ErrUnsent):
+		end = pool.EndUnreachable
 	case err != nil:
 		end = pool.EndFailed
 	default:
@@ -51,10 +58,14 @@
 
 // settle completes, fails or requeues the pieces of a finished call.
 func (b *Batcher) settle(c *call, results []sequoialead.PieceResult, load *sequoialead.ServerLoad, err error, duration time.Duration) {
+	now, state := b.opts.Now(), c.q.state(b.opts.Now(), max(c.q.ledServers, 1))
+	c.q.times.Advance(state)
 	c.q.inFlight--
-	if load != nil && load.Running+load.Queued > 0 {
-		c.q.sharedUntil = b.opts.Now().Add(sharedPeriod)
+	if c.refused {
+		b.requeueRefused(c, load, err)
+		return
 	}
+	c.q.contention.RecordAnswer(c.place.Server.ID, float64(duration)/float64(max(calltime.Configured(c.conf.Pieces, float64(len(c.batch))), 1)), load, now)
 	withoutRoom := 0
 	server, room := c.place.Server, c.conf.Pieces.RoomBytes
 	retryGranted := map[*pendingOrder]bool{}
@@ -73,10 +84,12 @@
 		b.settlePiece(c.q, p, m, server, retryGranted)
 	}
 	if withoutRoom > 0 {
-		b.rooms.markFull(server.ID, c.place.Led, b.opts.Now())
+		b.rooms.markFull(server.ID, c.place.Led, now)
 	}
 	if err == nil {
-		c.q.observeCallTime(duration)
+		if !c.shared {
+			c.q.times.RecordCall(c.conf.Pieces, len(c.batch), duration, state)
+		}
 		b.stats.observeCall(c.q.name, len(c.batch), duration)
 		b.opts.Log.V(1).Info("pieces", "pool", c.q.name, "server", server.ID, "own", c.place.Led, "pieces", len(c.batch), "took", duration,
 			"waiting", c.q.pendingPieces(), "held", b.rooms.held[server.ID], "roomless", withoutRoom, "load", load)
@@ -86,6 +99,28 @@
 	b.dispatch(c.q)
 }
 
+// requeueRefused returns the pieces of a call that the backend server refused as full to the
+// queue. That is no failure of their orders, but sending them again takes a retry for each
+// order, since the budget counts refused calls too.
+func (b *Batcher) requeueRefused(c *call, load *sequoialead.ServerLoad, err error) {
+	now, server := b.opts.Now(), c.place.Server
+	callTime := c.q.times.CallTime(c.conf.Pieces, c.q.state(now, max(c.q.ledServers, 1)))
+	c.q.contention.RecordRefusal(server.ID, callTime, c.q.inFlight+1, b.random(), now)
+	b.stats.countRefused(c.q.name)
+	b.opts.Log.V(1).Info("pieces-refused", "pool", c.q.name, "server", server.ID, "own", c.place.Led, "pieces", len(c.batch), "load", load, "err", err)
+	for _, p := range c.batch {
+		b.rooms.release(server.ID, p.piece.Bytes)
+		o := p.parent
+		if o.abandoned || o.ended {
+			continue
+		}
+		c.q.requeue(p)
+		o.awaitsRetry = true
+		o.started = o.started && len(o.pending) < len(o.order.Pieces)
+	}
+	b.dispatch(c.q)
+}
+
 // refuseSize fails the order of a piece that its backend server has no room for even
 // without other results.
 func (b *Batcher) refuseSize(c *call, p *pendingPiece) {
--- a/core/batch/metrics.go
+++ b/core/batch/metrics.go
@@ -19,6 +19,11 @@
 	c.set.GetOrCreateHistogram(fmt.Sprintf(`sequoialead_call_seconds{pool=%q}`, pool)).Update(duration.Seconds())
 }
 
+// countRefused counts a call that a backend server refused as full.
+func (c callMetrics) countRefused(pool string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_calls_refused_total{pool=%q}`, pool)).Inc()
+}
+
 // observeWaits records how long each order in a batch was queued.
 func (c callMetrics) observeWaits(pool string, batch []*pendingPiece, now time.Time) {
 	var last *pendingOrder
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -20,6 +20,9 @@
 	waitsForLocal := b.localWaitFunc(q, conf, now)
 	leads := b.opts.Pools.LedServers(q.name) > 0
 	for _, o := range q.orders[:min(len(q.orders), maxOrdersTried)] {
+		if o.awaitsRetry {
+			continue
+		}
 		need := o.pendingBytes(conf.Pieces.MaxBatch)
 		place, _ := b.opts.Pools.Acquire(q.name, pool.Request{
 			Exclude: o.failedServers, Domain: o.order.Domain,
@@ -27,6 +30,9 @@
 				if leads && !led {
 					return false // the server's leader assumes that no other entry sends it calls
 				}
+				if q.contention.Paused(server.ID, now) {
+					return false
+				}
 				room := b.rooms.spareRoom(conf.Pieces.RoomBytes, server.ID, led, now)
 				return !waitsForLocal(o, server.Domain) && (room.whole || room.bytes >= need)
 			},
@@ -42,7 +48,9 @@
 // for a backend server of its own failure domain rather than be made in the
 // given one.
 func (b *Batcher) localWaitFunc(q *queue, conf *proxyconfig.Pool, now time.Time) func(o *pendingOrder, domain string) bool {
-	loaded := float64(q.pendingPieces()) > localWaitMaxLoad*float64(conf.Pieces.MaxBatch*max(b.opts.Pools.LedServers(q.name), 1))
+	led := max(b.opts.Pools.LedServers(q.name), 1)
+	loaded := float64(q.pendingPieces()) > localWaitMaxLoad*float64(conf.Pieces.MaxBatch*led)
+	callTime := q.times.CallTime(conf.Pieces, q.state(now, led))
 	domainHasServers := map[string]bool{"": false}
 	for _, o := range q.orders {
 		if _, ok := domainHasServers[o.order.Domain]; !ok {
@@ -50,7 +58,7 @@
 		}
 	}
 	return func(o *pendingOrder, domain string) bool {
-		return !loaded && o.order.Domain != domain && domainHasServers[o.order.Domain] && now.Before(o.localWaitDeadline(q.callTime))
+		return !loaded && o.order.Domain != domain && domainHasServers[o.order.Domain] && now.Before(o.localWaitDeadline(callTime))
 	}
 }
 
@@ -59,7 +67,7 @@
 // at the backend server, because these may be served first, nor while this
 // entry hands over.
 func (b *Batcher) notifyInputsRead(c *call) {
-	if !c.place.Led || b.opts.Now().Before(c.q.sharedUntil) || b.handingOver {
+	if !c.place.Led || c.q.contention.AnyShared(b.opts.Now()) || b.handingOver {
 		return
 	}
 	var callbacks []func()
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"sequoialead"
+	"sequoialead/core/calltime"
+	"sequoialead/core/contention"
 	"sequoialead/core/protocol"
 	"sequoialead/core/proxyconfig"
 )
@@ -28,7 +30,10 @@
 	// pending holds the pieces that are neither made nor in flight.
 	pending []*pendingPiece
 	// remaining is the number of pieces that are not made.
-	remaining     int
+	remaining int
+	// awaitsRetry is set if a call with pieces of the order was refused as full. The next
+	// call with pieces of it takes a retry from the budget, and waits until there is one.
+	awaitsRetry   bool
 	results       []Result
 	failures      int
 	failedServers map[string]bool
@@ -110,20 +115,13 @@
 	// inFlight is the number of calls in flight.
 	inFlight          int
 	dispatchScheduled bool
-	// callTime is the moving average of the duration of a call.
-	callTime time.Duration
-	// callSize and busyCalls are moving averages of the number of pieces in a call
-	// and of the number of calls in flight. Only calls that left pieces in the
-	// queue count, because others do not show the pool's capacity. Both are zero
-	// before the first such call.
-	callSize  float64
-	busyCalls float64
+	// times holds what was measured of calls.
+	times calltime.Estimate
 	// ledServers is the number of backend servers that this entry led when last
 	// checked.
 	ledServers int
-	// sharedUntil is the time until which other entries may have calls at the
-	// backend servers.
-	sharedUntil time.Time
+	// contention tells where other entries may have calls.
+	contention  contention.Tracker
 	refusedSize refusedSize
 }
 
@@ -157,41 +155,15 @@
 // still have calls there.
 func (q *queue) updateLedServers(servers int, now time.Time) {
 	if servers != q.ledServers {
+		q.contention.RecordChange(q.ledServers, servers, now)
 		q.ledServers = servers
-		q.sharedUntil = now.Add(sharedPeriod)
 	}
 }
 
-// ewmaWeight is the weight of the newest value in moving averages.
-const ewmaWeight = 0.2
-
-func (q *queue) observeCallTime(d time.Duration) {
-	if q.callTime == 0 {
-		q.callTime = d
-	}
-	q.callTime += time.Duration(ewmaWeight * float64(d-q.callTime))
-}
-
-// observeCallSize updates callSize and busyCalls after a call's pieces were taken
-// from the queue, unless the queue is now empty.
-func (q *queue) observeCallSize(pieces int) {
-	if len(q.orders) == 0 {
-		return
-	}
-	if q.callSize == 0 {
-		q.callSize, q.busyCalls = float64(pieces), float64(q.inFlight)
-	}
-	q.callSize += ewmaWeight * (float64(pieces) - q.callSize)
-	q.busyCalls += ewmaWeight * (float64(q.inFlight) - q.busyCalls)
-}
-
-// piecesPerCallTime returns the number of pieces made within callTime. Without
-// measurements it assumes one full batch at each backend server.
-func (q *queue) piecesPerCallTime(batch, servers int) float64 {
-	if q.callSize == 0 {
-		return float64(batch * servers)
-	}
-	return max(q.callSize, 1) * min(max(q.busyCalls, 1), float64(servers))
+// state returns what the weight of the measured times depends on, given the number of
+// backend servers that make the pieces.
+func (q *queue) state(now time.Time, servers int) calltime.State {
+	return calltime.State{Now: now, Servers: servers, Calls: q.inFlight}
 }
 
 // pendingPieces returns the number of pieces in the queue.
@@ -222,6 +194,20 @@
 	q.orders = nil
 }
 
+// takeRetries takes a retry for each order that awaits one, in the queue's order, as long as
+// there are any.
+func (q *queue) takeRetries(take func() bool) {
+	for _, o := range q.orders {
+		if !o.awaitsRetry {
+			continue
+		}
+		if !take() {
+			return
+		}
+		o.awaitsRetry = false
+	}
+}
+
 // requeue makes a piece pending again, and enqueues its order unless it is queued.
 func (q *queue) requeue(p *pendingPiece) {
 	o := p.parent
@@ -237,7 +223,7 @@
 // server, since they may wait long. Within each class, orders are
 // sorted by urgency and due time. The pieces of late orders are not counted in the
 // waiting times of other orders, so a late order does not make others late.
-func (q *queue) sort(now time.Time, batch, servers int) {
+func (q *queue) sort(now time.Time, conf *proxyconfig.PieceLimits, servers int) {
 	compare := func(a, b *pendingOrder) int {
 		return cmp.Or(cmp.Compare(a.priorityClass(), b.priorityClass()), cmp.Compare(a.order.Urgency, b.order.Urgency), a.order.DueAt.Compare(b.order.DueAt))
 	}
@@ -245,10 +231,11 @@
 		o.late = false
 	}
 	slices.SortStableFunc(q.orders, compare)
-	ahead, anyLate, perCallTime := 0, false, q.piecesPerCallTime(batch, servers)
+	state := q.state(now, servers)
+	ahead, anyLate, perCallTime, callTime := 0, false, q.times.PiecesPerCallTime(conf, state), q.times.CallTime(conf, state)
 	for _, o := range q.orders {
-		wait := float64(ahead) / perCallTime * float64(q.callTime)
-		if o.late = !o.started && o.order.DueAt.Before(now.Add(q.callTime+time.Duration(wait))); o.late {
+		wait := float64(ahead) / perCallTime * float64(callTime)
+		if o.late = !o.started && o.order.DueAt.Before(now.Add(callTime+time.Duration(wait))); o.late {
 			anyLate = true
 		}
 		if o.late || o.oversize {
@@ -297,7 +284,7 @@
 			break
 		}
 		fits := len(o.pending) <= maxLeft && o.pendingBytes(maxLeft) <= room.bytes
-		if o.failedServers[server.ID] || waitsForLocal(o, server.Domain) || !fits && len(batch) > 0 {
+		if o.awaitsRetry || o.failedServers[server.ID] || waitsForLocal(o, server.Domain) || !fits && len(batch) > 0 {
 			continue
 		}
 		n := 0
@@ -317,19 +304,14 @@
 	return batch
 }
 
-// configuredCallTime returns the expected duration of a call according to the
-// configuration.
-func configuredCallTime(conf *proxyconfig.PieceLimits, pieces int) time.Duration {
-	return conf.CallTime + time.Duration(pieces)*conf.ItemTime
-}
-
 // urgencyCount is the number of urgencies that a backlog distinguishes; higher ones
 // count as the last.
 const urgencyCount = 10
 
 // backlog returns the load of the queue, as the input of Estimate.
-func (q *queue) backlog(batch, servers int) protocol.Backlog {
-	l := protocol.Backlog{CallTime: q.callTime, PiecesPerCallTime: q.piecesPerCallTime(batch, servers), Servers: servers, Calls: q.inFlight}
+func (q *queue) backlog(now time.Time, conf *proxyconfig.PieceLimits, servers int) protocol.Backlog {
+	state := q.state(now, servers)
+	l := protocol.Backlog{CallTime: q.times.CallTime(conf, state), PiecesPerCallTime: q.times.PiecesPerCallTime(conf, state), Servers: servers, Calls: q.inFlight}
 	for _, o := range q.orders {
 		if o.late || o.oversize {
 			continue // behind all others
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -26,6 +26,11 @@
 	return newPendingOrder(o, start())
 }
 
+// limits returns the limits of servers that make 10 pieces in each call.
+func limits(callTime time.Duration) *proxyconfig.PieceLimits {
+	return &proxyconfig.PieceLimits{MaxBatch: 10, CallTime: callTime}
+}
+
 func neverWaits(*pendingOrder, string) bool { return false }
 
 func ids(batch []*pendingPiece) []string {
@@ -55,8 +60,8 @@
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			c := qt.New(t)
-			q := &queue{orders: test.queue, callTime: 300 * time.Millisecond}
-			q.sort(start(), 10, 1)
+			q := &queue{orders: test.queue}
+			q.sort(start(), limits(300*time.Millisecond), 1)
 			c.Assert(ids(q.takeBatch(test.maxPieces, server, spareRoom{bytes: test.room}, neverWaits)), qt.DeepEquals, test.want)
 		})
 	}
@@ -66,11 +71,11 @@
 // that can meet theirs.
 func TestLateOrdersGoLast(t *testing.T) {
 	c := qt.New(t)
-	q := &queue{callTime: time.Second}
+	q := &queue{}
 	for _, id := range []string{"a", "b", "c", "d"} {
 		q.orders = append(q.orders, order(id, 10, 0, 2500*time.Millisecond))
 	}
-	q.sort(start(), 10, 1)
+	q.sort(start(), limits(time.Second), 1)
 	late := 0
 	for _, o := range q.orders {
 		if o.late {
@@ -84,11 +89,11 @@
 func TestStartedOrdersGoFirst(t *testing.T) {
 	c := qt.New(t)
 	q := &queue{orders: []*pendingOrder{order("a", 5, 9, time.Hour)}}
-	q.sort(start(), 10, 1)
+	q.sort(start(), limits(0), 1)
 	server := sequoialead.Server{ID: "s"}
 	c.Assert(q.takeBatch(3, server, spareRoom{bytes: 99}, neverWaits), qt.HasLen, 3)
 	q.orders = append(q.orders, order("b", 1, 0, time.Second))
-	q.sort(start(), 10, 1)
+	q.sort(start(), limits(0), 1)
 	c.Assert(ids(q.takeBatch(2, server, spareRoom{bytes: 99}, neverWaits)), qt.DeepEquals, []string{"a3", "a4"})
 }
 
@@ -129,7 +134,7 @@
 			q.orders = append(q.orders, o)
 		}
 		for rounds := 0; len(q.orders) > 0; rounds++ {
-			q.sort(start(), 10, 1)
+			q.sort(start(), limits(0), 1)
 			batch := q.takeBatch(rapid.IntRange(1, 5).Draw(t, "batch"), sequoialead.Server{ID: "s"}, spareRoom{bytes: rapid.IntRange(10, 60).Draw(t, "room")}, neverWaits)
 			if len(batch) == 0 {
 				t.Fatal("takeBatch returned no pieces although orders wait")
@@ -194,7 +199,7 @@
 	b := New(Options{Metrics: metrics.NewSet(), Maker: p, Pools: p, Now: start})
 	c.Assert(b.Start(context.Background()), qt.IsNil)
 	read, ended := make(chan struct{}), make(chan int, 1)
-	b.queue("").updateLedServers(1, start().Add(-sharedPeriod))
+	b.queue("").updateLedServers(1, start().Add(-time.Minute))
 	o := order("a", 2, 0, time.Second).order
 	o.OnInputsRead = func() { close(read) }
 	go func() {
@@ -219,7 +224,9 @@
 		{"no other entry", func(*Batcher, *queue, *call) {}, false},
 		{"another entry's backend server", func(_ *Batcher, _ *queue, c *call) { c.place.Led = false }, true},
 		{"this entry has just become leader", func(_ *Batcher, q *queue, _ *call) { q.updateLedServers(2, start()) }, true},
-		{"an answer reported other calls", func(_ *Batcher, q *queue, _ *call) { q.sharedUntil = start().Add(time.Millisecond) }, true},
+		{"an answer reported other calls", func(_ *Batcher, q *queue, _ *call) {
+			q.contention.RecordAnswer("s", 1, &sequoialead.ServerLoad{Running: 1}, start())
+		}, true},
 		{"another entry takes over", func(b *Batcher, _ *queue, _ *call) { b.HandOver() }, true},
 	}
 	for _, test := range tests {
--- a/proxy.go
+++ b/proxy.go
@@ -127,6 +127,9 @@
 	// Load is nil if the answer does not report the load.
 	Load   *ServerLoad
 	Notice ServerNotice
+	// Refused is set if the server itself refused the call because it can't take it now,
+	// and has not run it.
+	Refused bool
 }
 
 // Response is the head of a backend server's answer.
