outlier: Eject backend servers that fail everything they are given

Cause: a server that resets every connection while its record and health look good is not left out. A stage server that does so has no call in flight, so it draws all calls, and the failures use up the retry budget.

Change: core/outlier ejects a server's process after three failures in a row, for a pause that grows with each failed probe, at most half of the servers that the entry chooses from. core/pool asks it in choose and feeds it from Release and RecordFirstByte, with the setting outlier (default false). Failures at one moment count once, and so do those of a sender whose requests fail at several servers. A request without answer until its deadline ends as "silent", not "abandoned". An answer whose body ends early because the caller left no longer counts as the server's failure.

--- a/commands/metrics.go
+++ b/commands/metrics.go
@@ -93,6 +93,7 @@
 		set.GetOrCreateCounter("sequoialead_pool_servers" + label).Set(uint64(p.Servers))
 		set.GetOrCreateCounter("sequoialead_pool_open" + label).Set(uint64(p.InFlight))
 		set.GetOrCreateFloatCounter("sequoialead_pool_retries_left" + label).Set(p.Retries)
+		set.GetOrCreateCounter("sequoialead_pool_ejected" + label).Set(uint64(p.Ejected))
 		for cause, n := range p.Held {
 			set.GetOrCreateCounter(fmt.Sprintf("sequoialead_pool_held{pool=%q,cause=%q}", name, cause)).Set(uint64(n))
 		}
--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"sequoialead"
@@ -30,6 +31,7 @@
 	configured := configuredCallTime(c.conf.Pieces, len(c.batch))
 	ctx, cancel := context.WithTimeout(b.tomb.Context(context.Background()), timeoutFactor*configured+transferAllowance)
 	defer cancel()
+	c.place.Source = c.source()
 	results, said, err := b.opts.Maker.Make(ctx, c.place.Server, pieces)
 	end := pool.EndDone
 	switch {
@@ -49,6 +51,18 @@
 	b.settle(c, results, said.Load, err, b.opts.Now().Sub(now))
 }
 
+// source identifies the request that all pieces of the call belong to; zero if there are
+// several.
+func (c *call) source() uint64 {
+	id := c.batch[0].piece.Request
+	for _, p := range c.batch[1:] {
+		if p.piece.Request != id {
+			return 0
+		}
+	}
+	return xxhash.Sum64String(id)
+}
+
 // settle completes, fails or requeues the pieces of a finished call.
 func (b *Batcher) settle(c *call, results []sequoialead.PieceResult, load *sequoialead.ServerLoad, err error, duration time.Duration) {
 	c.q.inFlight--
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -21,6 +21,7 @@
 	"sequoialead/core/delegate"
 	"sequoialead/core/lease"
 	"sequoialead/core/membership"
+	"sequoialead/core/outlier"
 	"sequoialead/core/pool"
 	"sequoialead/core/proxyconfig"
 	"sequoialead/core/quarantine"
@@ -292,6 +293,14 @@
 	if p == nil {
 		p = pool.New(pool.Options{
 			Name: name, Domain: f.opts.Domain, Random: f.opts.Random, Limits: f.opts.Limits.Limits,
+			OnEjected: func(e outlier.Event) {
+				f.metrics.ejected(name, e.Probe)
+				log := f.opts.Log
+				if e.Probe {
+					log = log.V(1)
+				}
+				log.Info("server-ejected", "pool", name, "server", e.Server.ID, "started", e.Server.StartedAt, "pause", e.Pause, "probe", e.Probe)
+			},
 		})
 		f.pools[name] = p
 	}
--- a/core/forward/metrics.go
+++ b/core/forward/metrics.go
@@ -51,6 +51,11 @@
 	c.set.GetOrCreateHistogram(fmt.Sprintf(`sequoialead_stage_seconds{pool=%q}`, pool)).Update(took.Seconds())
 }
 
+// ejected counts an ejection of a backend server, or a failed probe of one.
+func (c recorder) ejected(pool string, probe bool) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_ejections_total{pool=%q,probe="%t"}`, pool, probe)).Inc()
+}
+
 // PoolStats describes the load of one pool as seen by this entry.
 type PoolStats struct {
 	Servers int
@@ -59,6 +64,9 @@
 	// Held is the number of backend servers that get nothing because of what they said
 	// themselves, by cause.
 	Held map[availability.Cause]int
+	// Ejected is the number of backend servers that get only probes because they failed what
+	// they were given.
+	Ejected int
 	// Retries is the number of retries left in this entry's part of the budget.
 	Retries float64
 }
@@ -71,7 +79,7 @@
 	stats := make(map[string]PoolStats, len(f.pools))
 	for name, p := range f.pools {
 		servers, inFlight := p.Load()
-		stats[name] = PoolStats{Servers: servers, InFlight: inFlight, Retries: p.Retries().Remaining(now, f.entries), Held: p.Held(now)}
+		stats[name] = PoolStats{Servers: servers, InFlight: inFlight, Retries: p.Retries().Remaining(now, f.entries), Held: p.Held(now), Ejected: p.Ejected(now)}
 	}
 	return stats
 }
--- a/core/forward/replay_test.go
+++ b/core/forward/replay_test.go
@@ -37,11 +37,17 @@
 	// turns holds a channel for each server that makes pieces, which takes the one call
 	// that runs.
 	turns map[string]chan struct{}
+	// failing holds the servers that reset the connection of every call, from failFrom on.
+	failing  map[string]bool
+	failFrom time.Time
+	// outlier is the setting of the forwarder.
+	outlier bool
 
 	mu      sync.Mutex
 	held    map[string]int
 	results map[string]heldResult
 	made    int
+	lost    int
 	// holding holds the times for which the results of each kind of request and stage
 	// were held.
 	holding map[string][]time.Duration
@@ -57,6 +63,9 @@
 // engineTime is the time that a model engine takes to the first event.
 const engineTime = 200 * time.Millisecond
 
+// resetTime is the time after which a failing server resets a connection.
+const resetTime = 5 * time.Millisecond
+
 func newLoadModel(pools map[string]int, pieces map[string]*proxyconfig.PieceLimits) *loadModel {
 	m := &loadModel{
 		config: &proxyconfig.Config{Version: 1, Routes: map[string][]*proxyconfig.Route{}, Pools: map[string]*proxyconfig.Pool{}},
@@ -96,6 +105,13 @@
 }
 
 func (m *loadModel) Make(_ context.Context, server sequoialead.Server, pieces []sequoialead.Piece) ([]sequoialead.PieceResult, sequoialead.ServerFeedback, error) {
+	if m.failing[server.ID] && !time.Now().Before(m.failFrom) {
+		time.Sleep(resetTime)
+		m.mu.Lock()
+		m.lost++
+		m.mu.Unlock()
+		return nil, sequoialead.ServerFeedback{}, sequoialead.ErrBroken.New("connection reset")
+	}
 	m.turns[server.ID] <- struct{}{}
 	defer func() { <-m.turns[server.ID] }()
 	limits := m.config.Pools[server.Pool].Pieces
@@ -165,7 +181,7 @@
 	f := forward.New(forward.Options{
 		Knowledge: m, Exchanger: m, Maker: m, Siblings: noSiblings{}, Quarantine: newQuarantine(time.Now), Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: time.Now,
 		Random: rand.New(rand.NewPCG(seed, 1)), Entry: "e", Domain: "a",
-		Limits: forward.Limits{Limits: pool.Limits{Retries: retries.Options{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, ColdFactor: 1}, Revoke: time.Minute},
+		Limits: forward.Limits{Limits: pool.Limits{Retries: retries.Options{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, ColdFactor: 1, Outlier: m.outlier}, Revoke: time.Minute},
 	})
 	qt.Assert(t, f.Start(context.Background()), qt.IsNil)
 	f.Refresh()
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"sequoialead"
@@ -126,6 +127,7 @@
 	j.trail.Add("send", "try", j.attempts, "server", place.Server.ID, "domain", place.Server.Domain, "left", left, "after", j.lastEventID,
 		"inputs", len(j.inputs), "pending", place.PendingTokens, "home", place.AtHome)
 	j.tried[place.Server.ID] = true
+	place.Source = j.source()
 	response, err := f.opts.Exchanger.Exchange(ctx, sequoialead.ProxyAttempt{
 		Request: j.request, Server: place.Server, TimeLeft: left, Customer: j.customerName(), Urgency: j.urgency,
 		Inputs: handles(j.inputs), LastEventID: j.lastEventID, AvoidIdle: !j.route.Repeatable(),
@@ -140,6 +142,9 @@
 	}
 	j.mayHaveRun = true
 	end, action, reason := f.receive(ctx, j, place, response, sink)
+	if end == pool.EndFailed && ctx.Err() != nil {
+		end = interruptedEnd(ctx)
+	}
 	f.releasePlace(j, place, end, response.Load)
 	return action, reason
 }
@@ -163,7 +168,7 @@
 		j.mayHaveRun = true
 	}
 	if ctx.Err() != nil {
-		f.releasePlace(j, place, pool.EndAbandoned, nil)
+		f.releasePlace(j, place, interruptedEnd(ctx), nil)
 		return actionFail, sequoialead.ReasonCancelled
 	}
 	j.trail.Add("send-lost", "server", place.Server.ID, "started", place.Server.StartedAt, "unsent", unsent, "try", j.attempts, "parts", j.request.Prompt.PartIDs(), "err", err)
@@ -180,6 +185,18 @@
 	return actionFail, sequoialead.ReasonBackend
 }
 
+// interruptedEnd returns the end of an attempt whose context has ended: the deadline has
+// passed, or the caller left.
+func interruptedEnd(ctx context.Context) pool.End {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return pool.EndSilent
+	}
+	return pool.EndAbandoned
+}
+
+// source identifies who sends requests like this one, by route and customer.
+func (j *job) source() uint64 { return xxhash.Sum64String(j.route.Name + "\x00" + j.customerName()) }
+
 // receive passes an answer on to the caller, or decides that the request may be
 // retried.
 func (f *Forwarder) receive(ctx context.Context, j *job, place *pool.Place, r *sequoialead.Response, sink Sink) (pool.End, action, sequoialead.Reason) {
@@ -203,6 +220,7 @@
 	end := pool.EndDone
 	if r.Status >= http.StatusInternalServerError {
 		end = pool.EndFailed
+		place.Failing = true
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes))
 	if err != nil {
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -7,6 +7,7 @@
 
 	"sequoialead"
 	"sequoialead/core/availability"
+	"sequoialead/core/outlier"
 )
 
 // End is the result of the request that used a place.
@@ -24,6 +25,8 @@
 	EndFailed
 	// EndAbandoned means that the request was canceled, or not sent at all.
 	EndAbandoned
+	// EndSilent means that there was no answer until the request's deadline.
+	EndSilent
 )
 
 // String returns the name of the end, as used in logs and metrics.
@@ -37,6 +40,8 @@
 		return "unreached"
 	case EndFailed:
 		return "failed"
+	case EndSilent:
+		return "silent"
 	}
 	return "abandoned"
 }
@@ -66,6 +71,7 @@
 	}
 	m.latency += smoothing * (took - m.latency)
 	m.state.RecordReached()
+	p.recordAnswer(place, false)
 }
 
 // Release releases a place and records how its request ended. The load is nil if the
@@ -93,8 +99,73 @@
 	case EndUnreachable:
 		m.failureRate += smoothing * (1 - m.failureRate)
 		m.state.RecordUnreachable(now)
-	case EndRefused, EndAbandoned:
+	case EndRefused, EndAbandoned, EndSilent:
 	}
+	p.recordEvidence(place, end, now)
+}
+
+const (
+	// minSilence and silenceFactor bound from below the time without answer that counts as a
+	// failure of the server: the second is a multiple of the pool's mean time to the first
+	// byte. Servers that are up to eight times slower than others are not ejected.
+	minSilence    = time.Second
+	silenceFactor = 10
+)
+
+// recordEvidence records what the end of a request tells of the server. A failure of a server
+// that has said that it is leaving or wants nothing tells nothing.
+func (p *Pool) recordEvidence(place *Place, end End, now time.Time) {
+	if !p.opts.Limits.Outlier {
+		return
+	}
+	server := place.member.Server
+	state := place.member.state
+	failed := end == EndFailed || end == EndSilent && !place.firstByteRecorded && p.isSilence(now.Sub(place.start))
+	switch {
+	case state.Leaving() || now.Before(state.HeldUntil()):
+	case failed:
+		failure := outlier.Failure{Source: place.Source, SentAt: place.start, Silent: end == EndSilent, Begun: place.firstByteRecorded && !place.Failing}
+		event, ejected := p.outliers.Failed(server, failure, place.probe, now)
+		if !ejected {
+			break
+		}
+		if p.opts.OnEjected != nil {
+			p.opts.OnEjected(event)
+		}
+	case end == EndDone:
+		p.recordAnswer(place, true)
+	}
+	if place.probe {
+		p.outliers.EndProbe(server)
+	}
+}
+
+// isSilence reports whether a time without answer is long enough to be a failure.
+func (p *Pool) isSilence(took time.Duration) bool {
+	sum, n := 0.0, 0
+	for _, m := range p.members {
+		if m.latency > 0 {
+			sum += m.latency
+			n++
+		}
+	}
+	return took >= minSilence && took.Seconds() >= silenceFactor*sum/float64(max(n, 1))
+}
+
+// recordAnswer records that a server has begun or completed an answer that is no failure.
+func (p *Pool) recordAnswer(place *Place, complete bool) {
+	if p.opts.Limits.Outlier && !place.Failing {
+		p.outliers.Answered(place.member.Server, outlier.Answer{Source: place.Source, SentAt: place.start, Complete: complete})
+	}
+}
+
+// Ejected returns the number of backend servers that get nothing but probes because they
+// failed what they were given.
+func (p *Pool) Ejected(now time.Time) int {
+	if !p.opts.Limits.Outlier {
+		return 0
+	}
+	return p.outliers.Ejected(now)
 }
 
 // recordLoad stores the load that a backend server reported.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -12,6 +12,7 @@
 
 	"sequoialead"
 	"sequoialead/core/availability"
+	"sequoialead/core/outlier"
 	"sequoialead/core/prefixcache"
 	"sequoialead/core/proxyconfig"
 	"sequoialead/core/retries"
@@ -25,6 +26,8 @@
 	Domain string
 	Random *rand.Rand
 	Limits Limits
+	// OnEjected is called when a backend server is ejected; it may be nil.
+	OnEjected func(outlier.Event)
 }
 
 // Limits holds the limits that apply to all entries together and may change while
@@ -38,6 +41,8 @@
 	// MaxHold is the longest time for which a backend server that wants nothing gets
 	// nothing.
 	MaxHold time.Duration
+	// Outlier makes the pool eject backend servers that fail everything.
+	Outlier bool
 }
 
 // Request describes a request to be placed.
@@ -63,8 +68,15 @@
 	// PendingTokens is the number of prompt tokens of this entry's earlier requests
 	// that the server has yet to prefill. AtHome tells whether the request's shared
 	// parts are assigned to the server.
-	PendingTokens     int
-	AtHome            bool
+	PendingTokens int
+	AtHome        bool
+	// Source identifies who sent the request; zero if it is not known. It tells failures
+	// that a caller causes from those of the server.
+	Source uint64
+	// Failing is set before RecordFirstByte if the answer reports a failure of the server.
+	Failing bool
+	// probe is set if the request probes an ejected server.
+	probe             bool
 	member            *member
 	tokens            int
 	start             time.Time
@@ -105,6 +117,7 @@
 	members []*member
 	// register holds what counts against the backend servers' processes.
 	register *availability.Register
+	outliers *outlier.Detector
 	entries  int
 	// recordsRead is when the records of the backend servers were last read.
 	recordsRead time.Time
@@ -150,13 +163,16 @@
 
 // New returns a pool without backend servers.
 func New(opts Options) *Pool {
-	return &Pool{opts: opts, conf: &proxyconfig.Pool{Name: opts.Name}, register: availability.New(), entries: 1, budget: retries.New(opts.Limits.Retries)}
+	return &Pool{opts: opts, conf: &proxyconfig.Pool{Name: opts.Name}, register: availability.New(), outliers: outlier.New(), entries: 1, budget: retries.New(opts.Limits.Retries)}
 }
 
 // Configure applies new limits.
 func (p *Pool) Configure(limits Limits) {
 	p.opts.Limits = limits
 	p.budget.Configure(limits.Retries)
+	if !limits.Outlier {
+		p.outliers = outlier.New()
+	}
 }
 
 // Retries returns the pool's retry budget.
@@ -229,6 +245,7 @@
 		p.members = append(p.members, m)
 	}
 	p.register.Prune(now)
+	p.outliers.Update(p.candidates(), now)
 	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
 }
 
@@ -245,6 +262,7 @@
 		best.pendingTokens += place.tokens
 		best.cache.Record(request.Prompt)
 	}
+	place.probe = p.opts.Limits.Outlier && p.outliers.Sent(best.Server, now)
 	best.inFlight++
 	best.sentSince++
 	best.state.RecordSent(now)
@@ -252,15 +270,36 @@
 }
 
 // choose returns the available backend server with the lowest cost, or nil and the
-// reason. Unreachable servers are considered only if all are unreachable.
+// reason. Unreachable servers are considered only if all are unreachable, and ejected
+// ones only if all others are excluded, leaving or unreachable.
 func (p *Pool) choose(request Request, home uint64, now time.Time) (*member, sequoialead.Reason) {
-	reason := sequoialead.ReasonNone
-	var best *member
+	best, reason, ejected, others := p.chooseAmong(request, home, now, false)
+	if best == nil && ejected && !others {
+		best, reason, _, _ = p.chooseAmong(request, home, now, true)
+	}
+	return best, reason
+}
+
+// chooseAmong returns the available backend server with the lowest cost, or nil and the
+// reason, among those that are not ejected, or among all. Ejected tells whether any were left
+// out for that, and others whether any other server may get the request now or later.
+func (p *Pool) chooseAmong(request Request, home uint64, now time.Time, all bool) (best *member, reason sequoialead.Reason, ejected, others bool) {
+	reason = sequoialead.ReasonNone
 	bestCost := 0.0
 	domain := cmp.Or(request.Domain, p.opts.Domain)
 	limits := p.limits(now)
 	for _, m := range p.members {
-		if request.Exclude[m.Server.ID] || request.HasCapacity != nil && !request.HasCapacity(m.Server, p.led[m.Server.ID]) {
+		if request.Exclude[m.Server.ID] {
+			continue
+		}
+		if p.opts.Limits.Outlier && !all {
+			if !p.outliers.Available(m.Server, now) {
+				ejected = true
+				continue
+			}
+			others = others || p.isCandidate(m) && !m.state.Leaving() && !m.state.Unreachable(now)
+		}
+		if request.HasCapacity != nil && !request.HasCapacity(m.Server, p.led[m.Server.ID]) {
 			continue
 		}
 		switch m.state.Check(now, limits) {
@@ -285,7 +324,22 @@
 			best, bestCost = m, cost
 		}
 	}
-	return best, reason
+	return best, reason, ejected, others
+}
+
+// isCandidate reports whether this entry chooses a backend server of its own accord: one of
+// those that it leads, or any if it leads none.
+func (p *Pool) isCandidate(m *member) bool { return len(p.led) == 0 || p.led[m.Server.ID] }
+
+// candidates returns the backend servers that this entry chooses from.
+func (p *Pool) candidates() []sequoialead.Server {
+	var list []sequoialead.Server
+	for _, m := range p.members {
+		if p.isCandidate(m) {
+			list = append(list, m.Server)
+		}
+	}
+	return list
 }
 
 // limits returns the limits by which backend servers are checked.
