admission: End requests that can no longer be answered in time

With the new setting `admission`, a request is admitted by one prediction for its whole path, ends as not run once the rest of the path no longer fits its deadline, and is refused early enough for the refusal to reach the caller. Predictions are corrected by pool and route, and a few requests pass although they would be refused, so that estimates are renewed.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -145,6 +145,7 @@
 		Entry:       s.name,
 		Domain:      s.domain,
 		Limits:      s.limits(),
+		Admission:   s.admission,
 		DrainNotice: balancerDelay,
 	})
 	return watcher, siblings, forwarder
--- a/commands/metrics.go
+++ b/commands/metrics.go
@@ -88,6 +88,14 @@
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	set.GetOrCreateCounter("sequoialead_heap_bytes").Set(memory.HeapInuse)
+	for key, p := range forwarder.Predictions() {
+		for name, q := range map[string]forward.Quantiles{"predicted": p.Predicted, "actual": p.Actual} {
+			label := fmt.Sprintf("pool=%q,route=%q,time=%q", key.Pool, key.Route, name)
+			set.GetOrCreateFloatCounter(fmt.Sprintf(`sequoialead_admission_seconds{%s,quantile="0.5"}`, label)).Set(q.P50.Seconds())
+			set.GetOrCreateFloatCounter(fmt.Sprintf(`sequoialead_admission_seconds{%s,quantile="0.9"}`, label)).Set(q.P90.Seconds())
+		}
+		set.GetOrCreateFloatCounter(fmt.Sprintf("sequoialead_admission_factor{pool=%q,route=%q}", key.Pool, key.Route)).Set(p.Factor)
+	}
 	for name, p := range forwarder.Pools() {
 		label := fmt.Sprintf("{pool=%q}", name)
 		set.GetOrCreateCounter("sequoialead_pool_servers" + label).Set(uint64(p.Servers))
--- a/core/explain/cause.go
+++ b/core/explain/cause.go
@@ -50,6 +50,8 @@
 			}
 		case "quarantined":
 			return e.Text
+		case "hopeless":
+			return fmt.Sprintf("%s (%s); refused truthfully, not run", e.Text, s.Fields["reason"])
 		case "send-refused":
 			if s.Fields["sends"] == "" {
 				return fmt.Sprintf("%s, and no other agent took it in time (%s)", e.Text, s.Fields["reason"])
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -140,6 +140,8 @@
 			return fmt.Sprintf("its stages would take %s after %s in queues, and %s are left until the deadline", roundDuration(f["service"]), roundDuration(f["waits"]), roundDuration(f["left"]))
 		}
 		return fmt.Sprintf("its stages would take %s behind the work that is already queued, and the objective is %s", roundDuration(f["stages"]), f["aim"])
+	case "hopeless":
+		return fmt.Sprintf("would take another %s until its first event, and %s are left until the deadline; its orders are withdrawn", roundDuration(f["remaining"]), roundDuration(f["left"]))
 	case "quarantined":
 		return fmt.Sprintf("its prompt has parts (of %s) that have crashed backend servers; such requests are held back for another %s", f["parts"], roundDuration(f["left"]))
 	case "refuse":
--- a/core/forward/admit.go
+++ b/core/forward/admit.go
@@ -34,6 +34,15 @@
 	// readyAt is when a backend server wants requests again, if the request is refused
 	// because none does now.
 	readyAt time.Time
+	// probe is set if the request was admitted only to renew the estimates, so that they
+	// must not end it.
+	probe bool
+	// predictedAt is when the time to the first event was predicted, and predicted is that
+	// time before its correction; zero if it was not predicted.
+	predictedAt time.Time
+	predicted   time.Duration
+	// factor is the correction of the prediction.
+	factor float64
 	// firstByte is the time from the request's arrival to the first byte of an answer.
 	firstByte time.Duration
 	// headSent is set once the head of an answer was sent to the caller.
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -17,6 +17,7 @@
 
 	"sequoialead"
 	"sequoialead/common/requestlog"
+	"sequoialead/core/admission"
 	"sequoialead/core/batch"
 	"sequoialead/core/delegate"
 	"sequoialead/core/lease"
@@ -61,6 +62,8 @@
 	Entry  string
 	Domain string
 	Limits Limits
+	// Admission makes requests be admitted, and ended, by a prediction for their whole path.
+	Admission bool
 	// DrainNotice is how long a leaving entry continues to accept requests that may
 	// last longer than it runs.
 	DrainNotice time.Duration
@@ -129,6 +132,9 @@
 	// waiters are ordered by urgency, then by arrival.
 	waiters  []*waiter
 	inFlight int
+	// admission is used only if Options.Admission is set.
+	admission   *admission.Controller
+	predictions map[admission.Key]*prediction
 	// noticeEnd and leavesAt are zero until the entry leaves. After noticeEnd it accepts
 	// only requests whose deadline is not after leavesAt.
 	noticeEnd time.Time
@@ -148,6 +154,7 @@
 // New returns a forwarder without backend servers; Refresh adds them.
 func New(opts Options) *Forwarder {
 	f := &Forwarder{opts: opts, metrics: recorder{set: opts.Metrics}, trails: requestlog.NewRecorder(opts.Log, opts.Now), pools: map[string]*pool.Pool{}, entries: 1}
+	f.admission, f.predictions = admission.New(opts.Random), map[admission.Key]*prediction{}
 	f.unsentCtx, f.cancelUnsent = context.WithCancel(context.Background())
 	f.sentCtx, f.cancelSent = context.WithCancel(context.Background())
 	f.batcher = batch.New(batch.Options{Maker: opts.Maker, Pools: poolAccess{f}, Log: opts.Log, Metrics: opts.Metrics, Now: opts.Now})
--- /dev/null
+++ b/core/forward/hopeless.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"sequoialead"
+	"sequoialead/core/admission"
+)
+
+const (
+	// minHopelessCheck and maxHopelessCheck bound the time between two predictions for a
+	// request in its stages. A request that has little time to spare is checked more often.
+	minHopelessCheck = 50 * time.Millisecond
+	maxHopelessCheck = 500 * time.Millisecond
+)
+
+// refuseUnservable refuses a request that is predicted to miss its objective or its deadline.
+// It returns nil if the request may proceed.
+func (f *Forwarder) refuseUnservable(j *job) *Result {
+	path := f.path(j)
+	now := f.opts.Now()
+	f.mu.Lock()
+	request := f.admissionRequest(j, path, now)
+	d := f.admission.Admit(request, now)
+	j.factor = f.admission.Factor(request.Key, now)
+	f.mu.Unlock()
+	j.predictedAt, j.predicted, j.probe = now, path.Remaining(), d.Probe
+	if d.Excess > 0 {
+		j.trail.Add("estimate", "stages", request.Elapsed+d.Predicted, "aim", j.route.Objective, "left", request.Left, "excess", d.Excess, "probe", d.Probe)
+	}
+	if d.Admit {
+		return nil
+	}
+	result := j.refusal(sequoialead.ReasonLate)
+	return &result
+}
+
+// admissionRequest returns the input for a decision on a request.
+func (f *Forwarder) admissionRequest(j *job, path admission.Path, now time.Time) admission.Request {
+	return admission.Request{
+		Key: j.admissionKey(), Path: path, Elapsed: now.Sub(j.request.ArrivedAt), Left: j.deadline.Sub(now),
+		Objective: j.route.Objective, Entries: f.entries,
+	}
+}
+
+// path returns the predicted path of a request whose stages have not started.
+func (f *Forwarder) path(j *job) admission.Path {
+	path := admission.Path{FirstEvent: f.firstEventEstimate(j)}
+	counts := pieceCounts(j)
+	for i, count := range counts {
+		stage := admission.Stage{After: j.route.Stages[i].After}
+		if count > 0 {
+			stage.Estimate = f.estimateStage(j, i, count)
+		}
+		path.Stages = append(path.Stages, stage)
+	}
+	return path
+}
+
+func (f *Forwarder) estimateStage(j *job, stage, count int) time.Duration {
+	return f.delegate.Estimate(poolAccess{f}.Conf(j.route.Stages[stage].Pool), j.request.ID, j.urgency, count)
+}
+
+// refuseBy returns the time by which a request that was not sent has to be refused, so that the
+// refusal reaches the caller before its deadline.
+func (j *job) refuseBy() time.Time {
+	return j.deadline.Add(-admission.ReplyTime(j.deadline.Sub(j.request.ArrivedAt)))
+}
+
+// lastSendAt returns the time after which it is of no use to send a request to a backend
+// server for the first time.
+func (f *Forwarder) lastSendAt(j *job) time.Time {
+	if j.mayHaveRun || j.probe {
+		return j.refuseBy()
+	}
+	return j.refuseBy().Add(-f.firstEventEstimate(j))
+}
+
+// unsentContext returns the context for what happens to a request before it is sent. It ends
+// early enough for a refusal to reach the caller.
+func (f *Forwarder) unsentContext(ctx context.Context, j *job) (context.Context, context.CancelFunc) {
+	if !f.opts.Admission {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, j.refuseBy().Sub(f.opts.Now()))
+}
+
+// stageExpiry returns the time after which the pieces of a stage are useless: the stages that
+// follow could not be made, and the request not answered, before the deadline.
+func (f *Forwarder) stageExpiry(j *job, counts []int, stage int) time.Time {
+	if !f.opts.Admission {
+		return j.stagesDeadline()
+	}
+	return earlier(j.stagesDeadline(), f.lastSendAt(j).Add(-leastTimeAfter(f, j, counts, stage)))
+}
+
+// leastTimeAfter returns the least time from the end of a stage to the end of all stages: that
+// of one call for each stage on the longest path.
+func leastTimeAfter(f *Forwarder, j *job, counts []int, stage int) time.Duration {
+	least := time.Duration(0)
+	for k, s := range j.route.Stages {
+		conf := poolAccess{f}.Conf(s.Pool)
+		if counts[k] > 0 && slices.Contains(s.After, stage) && conf != nil && conf.Pieces != nil {
+			least = max(least, conf.Pieces.CallTime+conf.Pieces.ItemTime+leastTimeAfter(f, j, counts, k))
+		}
+	}
+	return least
+}
+
+// recordStart records the start of a stage and its predicted time.
+func (s *stageRun) recordStart(stage int, now time.Time) {
+	if !s.f.opts.Admission {
+		return
+	}
+	estimate := s.f.estimateStage(s.j, stage, s.pieceCounts[stage])
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started[stage], s.estimates[stage] = now, estimate
+}
+
+// endIfHopeless ends the stages, and withdraws their orders, once the request can no longer be
+// answered before its deadline. It returns when ctx ends.
+func (s *stageRun) endIfHopeless(ctx context.Context, end context.CancelFunc) {
+	f, j := s.f, s.j
+	for {
+		path := s.path()
+		now := f.opts.Now()
+		f.mu.Lock()
+		request := f.admissionRequest(j, path, now)
+		predicted := f.admission.Predict(request.Key, path, now)
+		hopeless := f.admission.Hopeless(request, now)
+		f.mu.Unlock()
+		if hopeless {
+			s.hopeless.Store(true)
+			j.trail.Add("hopeless", "remaining", predicted, "left", request.Left)
+			end()
+			return
+		}
+		timer := time.NewTimer(min(max((request.Left-predicted)/2, minHopelessCheck), maxHopelessCheck))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// path returns the predicted rest of the request's path.
+func (s *stageRun) path() admission.Path {
+	path := s.f.path(s.j)
+	now := s.f.opts.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range path.Stages {
+		stage := &path.Stages[i]
+		select {
+		case <-s.done[i]:
+			stage.Done = true
+		default:
+		}
+		if !s.started[i].IsZero() {
+			stage.Started, stage.Estimate, stage.Elapsed = true, s.estimates[i], now.Sub(s.started[i])
+		}
+	}
+	return path
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -40,6 +40,9 @@
 		share = maxWaitShareCommitted
 	}
 	until := f.opts.Now().Add(time.Duration(share * float64(j.route.Objective)))
+	if f.opts.Admission {
+		until = earlier(until, f.lastSendAt(j))
+	}
 	request := pool.Request{Prompt: j.request.Prompt, Exclude: j.tried}
 	var w *waiter
 	recorded := false
--- a/core/forward/replay_test.go
+++ b/core/forward/replay_test.go
@@ -42,6 +42,12 @@
 	held    map[string]int
 	results map[string]heldResult
 	made    int
+	// admission is the setting of the same name.
+	admission bool
+	// unheard counts, by route, the requests that ended at or after their deadline, and
+	// refused holds the times after which others were refused.
+	unheard map[string]int
+	refused map[string][]time.Duration
 	// holding holds the times for which the results of each kind of request and stage
 	// were held.
 	holding map[string][]time.Duration
@@ -61,6 +67,7 @@
 	m := &loadModel{
 		config: &proxyconfig.Config{Version: 1, Routes: map[string][]*proxyconfig.Route{}, Pools: map[string]*proxyconfig.Pool{}},
 		lease:  lease.New(), turns: map[string]chan struct{}{}, held: map[string]int{}, results: map[string]heldResult{}, holding: map[string][]time.Duration{},
+		unheard: map[string]int{}, refused: map[string][]time.Duration{},
 	}
 	for name, count := range pools {
 		p := &proxyconfig.Pool{Name: name, MaxConns: 100, Pieces: pieces[name]}
@@ -164,7 +171,7 @@
 	}
 	f := forward.New(forward.Options{
 		Knowledge: m, Exchanger: m, Maker: m, Siblings: noSiblings{}, Quarantine: newQuarantine(time.Now), Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: time.Now,
-		Random: rand.New(rand.NewPCG(seed, 1)), Entry: "e", Domain: "a",
+		Random: rand.New(rand.NewPCG(seed, 1)), Entry: "e", Domain: "a", Admission: m.admission,
 		Limits: forward.Limits{Limits: pool.Limits{Retries: retries.Options{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, ColdFactor: 1}, Revoke: time.Minute},
 	})
 	qt.Assert(t, f.Start(context.Background()), qt.IsNil)
@@ -192,9 +199,16 @@
 				}
 				requests.Go(func() {
 					sink := &timedSink{}
-					f.Serve(context.Background(), request, sink)
+					result := f.Serve(context.Background(), request, sink)
 					mu.Lock()
 					defer mu.Unlock()
+					switch took := time.Since(request.ArrivedAt); {
+					case result.Status == 0:
+					case took >= request.CallerTimeout:
+						m.unheard[a.route.Name]++
+					default:
+						m.refused[a.route.Name] = append(m.refused[a.route.Name], took)
+					}
 					sent[a.route.Name]++
 					if !sink.head.IsZero() && sink.head.Sub(request.ArrivedAt) <= a.route.Objective {
 						onTime[a.route.Name]++
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -53,7 +53,7 @@
 
 // send makes attempts at a request until it is answered or may not be retried.
 func (f *Forwarder) send(ctx context.Context, j *job, sink Sink) Result {
-	unsentCtx, cancel := context.WithCancel(ctx)
+	unsentCtx, cancel := f.unsentContext(ctx, j)
 	defer cancel()
 	defer context.AfterFunc(f.unsentCtx, cancel)()
 	for offers := 1; ; offers++ {
@@ -75,7 +75,7 @@
 			if place != nil {
 				f.releasePlace(j, place, pool.EndAbandoned, nil)
 			}
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && f.unsentCtx.Err() != nil {
 				return j.refusal(sequoialead.ReasonLeaving)
 			}
 			return f.interruptedResult(j)
@@ -275,11 +275,15 @@
 // recordFirstByte records the time of the first byte of an answer.
 func (f *Forwarder) recordFirstByte(j *job, place *pool.Place) {
 	now := f.opts.Now()
-	if j.firstByte == 0 {
+	first := j.firstByte == 0
+	if first {
 		j.firstByte = now.Sub(j.request.ArrivedAt)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if first && j.predicted > 0 && j.attempts == 1 {
+		f.recordActual(j, now)
+	}
 	f.pool(j.pool).RecordFirstByte(place, now)
 }
 
--- a/core/forward/serve.go
+++ b/core/forward/serve.go
@@ -31,6 +31,9 @@
 	result := f.send(limited, j, sink)
 	f.releaseInputs(j)
 	f.addInFlight(-1)
+	if j.predicted > 0 && j.firstByte == 0 && result.Status == http.StatusServiceUnavailable && ctx.Err() == nil {
+		f.recordUnfinished(j)
+	}
 	if ctx.Err() != nil {
 		result.Disconnected = true
 	}
@@ -63,6 +66,9 @@
 // refuseLate refuses a request if its first event is estimated to come too late
 // because of its stages. It returns nil if the request may proceed.
 func (f *Forwarder) refuseLate(j *job) *Result {
+	if f.opts.Admission {
+		return f.refuseUnservable(j)
+	}
 	estimate := f.estimateStages(j)
 	if estimate > 0 {
 		estimate += f.opts.Now().Sub(j.request.ArrivedAt)
--- a/core/forward/stages.go
+++ b/core/forward/stages.go
@@ -26,6 +26,13 @@
 	// consumers counts the stages that still need the results of each stage.
 	consumers []atomic.Int32
 	plan      *stageplan.Plan
+
+	// hopeless is set once the request can no longer be answered before its deadline.
+	hopeless atomic.Bool
+	mu       sync.Mutex
+	// started holds the start of each stage, and estimates its predicted time then.
+	started   []time.Time
+	estimates []time.Duration
 }
 
 // runStages makes the pieces of all stages, each stage as soon as those that it
@@ -40,6 +47,7 @@
 	s := &stageRun{
 		f: f, j: j, pieceCounts: counts, consumers: countConsumers(j.route.Stages, counts), plan: f.planStages(j, counts),
 		results: make([][]batch.Result, len(counts)), reasons: make([]sequoialead.Reason, len(counts)), done: make([]chan struct{}, len(counts)),
+		started: make([]time.Time, len(counts)), estimates: make([]time.Duration, len(counts)),
 	}
 	for i := range s.done {
 		s.done[i] = make(chan struct{})
@@ -57,8 +65,18 @@
 			}
 		})
 	}
+	if f.opts.Admission && !j.probe {
+		var watch sync.WaitGroup
+		watch.Go(func() { s.endIfHopeless(ctx, cancel) })
+		defer watch.Wait()
+		defer cancel()
+	}
 	all.Wait()
-	return f.collectInputs(j, s.consumers, s.results, s.reasons)
+	reason := f.collectInputs(j, s.consumers, s.results, s.reasons)
+	if reason == sequoialead.ReasonCancelled && s.hopeless.Load() {
+		return sequoialead.ReasonLate
+	}
+	return reason
 }
 
 // make makes the pieces of one stage once those that it follows are done.
@@ -77,11 +95,12 @@
 	dropInputs := sync.OnceFunc(func() { s.dropInputs(preceding) })
 	name := j.route.Stages[i].Pool
 	start := f.opts.Now()
+	s.recordStart(i, start)
 	domain, moved := f.preferredDomain(j, i, s.pieceCounts[i], s.results)
 	results, reason := f.delegate.Make(ctx, batch.Order{
 		Pool: name, Conf: poolAccess{f}.Conf(name), Urgency: j.urgency, Pieces: stagePieces(j, i, s.pieceCounts[i], s.results), Domain: domain, MovedBytes: moved,
 		DueAt:     j.request.ArrivedAt.Add(j.route.Objective - f.timeAfter(j, s.pieceCounts, i)),
-		ExpiresAt: j.stagesDeadline(),
+		ExpiresAt: f.stageExpiry(j, s.pieceCounts, i),
 		OnInputsRead: func() {
 			if s.roomScarce(preceding) {
 				dropInputs() // frees room early, but if a piece then fails and is retried, its inputs may be gone
