comeback: Tell refused callers when a place is likely

Refused callers were told to come back after 0.15 of their time whatever the backlog, so that they came back together or late, and refusals for a stale configuration carried no hint. core/comeback gives each caller a turn after the backlog, at the rate that is served; for a stale configuration it is the next read. Who comes back may wait longer in core/admission and goes first within its urgency in core/waitqueue, which also wakes the first waiter of the pool in which a place became free instead of the most urgent of all.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -151,6 +151,22 @@
 // the deadline counts: no other time would be better for the request.
 func (c *Controller) Admit(r Request, now time.Time) Decision {
 	d := Decision{Predicted: c.Predict(r.Key, r.Path, now)}
+	allowed := r.allowed()
+	d.Excess = max(d.Predicted-allowed, 0)
+	if d.Admit = d.Excess == 0; !d.Admit && allowed > 0 {
+		d.Probe = c.takeProbe(r, now)
+		d.Admit = d.Probe
+	}
+	return d
+}
+
+// Excess returns the time by which the prediction for a request exceeds what it allows.
+func (c *Controller) Excess(r Request, now time.Time) time.Duration {
+	return max(c.Predict(r.Key, r.Path, now)-r.allowed(), 0)
+}
+
+// allowed returns the longest time that the request may still take to its first event.
+func (r Request) allowed() time.Duration {
 	allowed := r.Left - ReplyTime(r.Left)
 	if r.Objective > 0 && r.Path.Queues() {
 		factor := objectiveFactor
@@ -159,12 +175,7 @@
 		}
 		allowed = min(allowed, time.Duration(factor*float64(r.Objective))-r.Elapsed)
 	}
-	d.Excess = max(d.Predicted-allowed, 0)
-	if d.Admit = d.Excess == 0; !d.Admit && allowed > 0 {
-		d.Probe = c.takeProbe(r, now)
-		d.Admit = d.Probe
-	}
-	return d
+	return allowed
 }
 
 // takeProbe reports whether a request goes through to renew the estimates. It does with a
--- a/core/forward/admit.go
+++ b/core/forward/admit.go
@@ -8,6 +8,7 @@
 	"sequoialead"
 	"sequoialead/common/requestlog"
 	"sequoialead/core/batch"
+	"sequoialead/core/comeback"
 	"sequoialead/core/proxyconfig"
 )
 
@@ -34,6 +35,8 @@
 	// readyAt is when a backend server wants requests again, if the request is refused
 	// because none does now.
 	readyAt time.Time
+	// returning is set if the caller was refused before.
+	returning bool
 	// probe is set if the request was admitted only to renew the estimates, so that they
 	// must not end it.
 	probe bool
@@ -43,6 +46,8 @@
 	predicted   time.Duration
 	// factor is the correction of the prediction.
 	factor float64
+	// drain is the time by which the prediction exceeded what the request allows.
+	drain time.Duration
 	// firstByte is the time from the request's arrival to the first byte of an answer.
 	firstByte time.Duration
 	// headSent is set once the head of an answer was sent to the caller.
@@ -109,9 +114,10 @@
 		}
 	}
 	j.urgency = min(max(j.urgency, 0), maxUrgency)
+	j.returning = f.opts.Admission && comeback.Returning(p.CallerTimeout, route.Timeout)
 	age, _ := f.opts.Knowledge.Lease().Age(p.ArrivedAt)
 	tr.Add("arrive", "route", route.Name, "pool", j.pool, "customer", j.customerName(), "urgency", j.urgency, "version", conf.Version,
-		"version-age", age, "wait", j.deadline.Sub(p.ArrivedAt), "pieces", p.Pieces)
+		"version-age", age, "wait", j.deadline.Sub(p.ArrivedAt), "pieces", p.Pieces, "returning", j.returning)
 	return j, nil
 }
 
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -19,6 +19,7 @@
 	"sequoialead/common/requestlog"
 	"sequoialead/core/admission"
 	"sequoialead/core/batch"
+	"sequoialead/core/comeback"
 	"sequoialead/core/delegate"
 	"sequoialead/core/lease"
 	"sequoialead/core/membership"
@@ -26,6 +27,7 @@
 	"sequoialead/core/proxyconfig"
 	"sequoialead/core/quarantine"
 	"sequoialead/core/serverset"
+	"sequoialead/core/waitqueue"
 )
 
 // Knowledge is the entry's view of the platform's records.
@@ -64,6 +66,9 @@
 	Limits Limits
 	// Admission makes requests be admitted, and ended, by a prediction for their whole path.
 	Admission bool
+	// NextRead returns the time until the next read of the configuration. It is nil if that
+	// is not known.
+	NextRead func() time.Duration
 	// DrainNotice is how long a leaving entry continues to accept requests that may
 	// last longer than it runs.
 	DrainNotice time.Duration
@@ -129,9 +134,12 @@
 	pools map[string]*pool.Pool
 	// entries is the number of entries that share the limits.
 	entries int
-	// waiters are ordered by urgency, then by arrival.
-	waiters  []*waiter
+	// waiting holds the requests that wait for a place.
+	waiting  *waitqueue.Queue[waiter]
 	inFlight int
+	// comeback gives refused callers their turns. It is used only if Options.Admission is
+	// set.
+	comeback *comeback.Schedule
 	// admission is used only if Options.Admission is set.
 	admission   *admission.Controller
 	predictions map[admission.Key]*prediction
@@ -154,6 +162,7 @@
 // New returns a forwarder without backend servers; Refresh adds them.
 func New(opts Options) *Forwarder {
 	f := &Forwarder{opts: opts, metrics: recorder{set: opts.Metrics}, trails: requestlog.NewRecorder(opts.Log, opts.Now), pools: map[string]*pool.Pool{}, entries: 1}
+	f.waiting, f.comeback = waitqueue.New[waiter](), comeback.New(opts.Random)
 	f.admission, f.predictions = admission.New(opts.Random), map[admission.Key]*prediction{}
 	f.unsentCtx, f.cancelUnsent = context.WithCancel(context.Background())
 	f.sentCtx, f.cancelSent = context.WithCancel(context.Background())
@@ -281,7 +290,9 @@
 	for name, p := range f.pools {
 		p.Update(pool.View{Conf: conf.Pools[name], Usable: byPool[name], ReadAt: read, Led: led[name], Entries: f.entries}, now)
 	}
-	f.wakeFirst()
+	for _, first := range f.waiting.Firsts() {
+		first.Value.wake()
+	}
 }
 
 func servers(entries []serverset.Member) []sequoialead.Server {
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -45,6 +45,10 @@
 	made        []sequoialead.Piece
 	freedCount  int
 	callsToLose int
+	// admission is the setting of the same name, and answerTime the time that servers
+	// take for an answer.
+	admission  bool
+	answerTime time.Duration
 	// onMake is called at the start of each Make; it may be nil.
 	onMake func()
 	// quarantine is that of the forwarder made last.
@@ -115,6 +119,7 @@
 		step, w.script = w.script[0], w.script[1:]
 	}
 	w.mu.Unlock()
+	time.Sleep(w.answerTime)
 	r := &sequoialead.Response{Status: http.StatusOK, Header: http.Header{}, Stamped: true, Body: &fakeBody{err: io.EOF}, Notice: notice}
 	lost := sequoialead.ErrLost.New("lost")
 	switch step {
@@ -262,7 +267,7 @@
 		Limits: forward.Limits{Revoke: 5 * time.Second, Limits: pool.Limits{
 			Retries: retries.Options{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5, MaxHold: time.Minute,
 		}},
-		DrainNotice: 2 * time.Second,
+		DrainNotice: 2 * time.Second, Admission: w.admission, NextRead: func() time.Duration { return 400 * time.Millisecond },
 	})
 	qt.Assert(t, f.Start(context.Background()), qt.IsNil)
 	t.Cleanup(func() { qt.Assert(t, f.Close(), qt.IsNil) })
--- a/core/forward/hopeless.go
+++ b/core/forward/hopeless.go
@@ -27,6 +27,7 @@
 	j.factor = f.admission.Factor(request.Key, now)
 	f.mu.Unlock()
 	j.predictedAt, j.predicted, j.probe = now, path.Remaining(), d.Probe
+	j.drain = d.Excess
 	if d.Excess > 0 {
 		j.trail.Add("estimate", "stages", request.Elapsed+d.Predicted, "aim", j.route.Objective, "left", request.Left, "excess", d.Excess, "probe", d.Probe)
 	}
@@ -41,13 +42,13 @@
 func (f *Forwarder) admissionRequest(j *job, path admission.Path, now time.Time) admission.Request {
 	return admission.Request{
 		Key: j.admissionKey(), Path: path, Elapsed: now.Sub(j.request.ArrivedAt), Left: j.deadline.Sub(now),
-		Objective: j.route.Objective, Entries: f.entries,
+		Objective: j.route.Objective, Returning: j.returning, Entries: f.entries,
 	}
 }
 
 // path returns the predicted path of a request whose stages have not started.
 func (f *Forwarder) path(j *job) admission.Path {
-	path := admission.Path{FirstEvent: f.firstEventEstimate(j)}
+	path := admission.Path{FirstEvent: f.firstEventEstimate(j), Wait: f.placeWait(j)}
 	counts := pieceCounts(j)
 	for i, count := range counts {
 		stage := admission.Stage{After: j.route.Stages[i].After}
@@ -59,6 +60,24 @@
 	return path
 }
 
+// placeWait predicts the wait for a place: the requests before this one get theirs at the rate at
+// which places became free lately, or give up.
+func (f *Forwarder) placeWait(j *job) time.Duration {
+	now := f.opts.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ahead := f.waiting.Waiting(j.pool, j.urgency)
+	if ahead == 0 {
+		return 0
+	}
+	longest := time.Duration(maxWaitShare * float64(j.route.Objective))
+	rate := f.comeback.Rate(j.pool, now)
+	if wait := float64(ahead) / rate; wait < longest.Seconds() {
+		return time.Duration(wait * float64(time.Second))
+	}
+	return longest
+}
+
 func (f *Forwarder) estimateStage(j *job, stage, count int) time.Duration {
 	return f.delegate.Estimate(poolAccess{f}.Conf(j.route.Stages[stage].Pool), j.request.ID, j.urgency, count)
 }
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"sequoialead"
 	"sequoialead/core/pool"
 	"sequoialead/core/proxyconfig"
+	"sequoialead/core/waitqueue"
 )
 
-// waiter is a request that waits for a place in a pool.
-type waiter struct {
-	urgency int
-	pool    string
-	wakeup  chan struct{}
-}
+// waiter wakes a request that waits for a place in a pool.
+type waiter chan struct{}
 
 const (
 	// maxWaitShare is the part of the route's objective that a request may wait for
@@ -44,7 +40,7 @@
 		until = earlier(until, f.lastSendAt(j))
 	}
 	request := pool.Request{Prompt: j.request.Prompt, Exclude: j.tried}
-	var w *waiter
+	var w *waitqueue.Ticket[waiter]
 	recorded := false
 	defer func() { f.removeWaiter(w) }()
 	for {
@@ -52,17 +48,16 @@
 		f.mu.Lock()
 		p := f.pool(j.pool)
 		reason := sequoialead.ReasonFull
-		if w != nil || !f.othersFirst(j) {
+		if w != nil || !f.waiting.MustWait(j.pool, j.urgency, j.returning) {
 			var place *pool.Place
 			if place, reason = p.Acquire(request, now); place != nil {
+				f.waiting.Granted(j.pool, j.urgency, j.returning)
 				f.mu.Unlock()
 				return place, ""
 			}
 		}
 		if w == nil {
-			w = &waiter{urgency: j.urgency, pool: j.pool, wakeup: make(chan struct{}, 1)}
-			f.waiters = append(f.waiters, w)
-			slices.SortStableFunc(f.waiters, func(a, b *waiter) int { return a.urgency - b.urgency })
+			w = f.waiting.Push(j.pool, j.urgency, j.returning, make(waiter, 1))
 		}
 		f.mu.Unlock()
 		if !recorded {
@@ -77,7 +72,7 @@
 		if exhausted || !now.Before(until) {
 			return nil, reason
 		}
-		if !w.wait(ctx, until.Sub(now)) {
+		if !w.Value.wait(ctx, until.Sub(now)) {
 			return nil, sequoialead.ReasonTimeout
 		}
 	}
@@ -101,17 +96,11 @@
 	return true
 }
 
-// othersFirst reports whether requests at least as urgent are already waiting for
-// the pool. f.mu must be held.
-func (f *Forwarder) othersFirst(j *job) bool {
-	return slices.ContainsFunc(f.waiters, func(w *waiter) bool { return w.pool == j.pool && w.urgency <= j.urgency })
-}
-
-func (w *waiter) wait(ctx context.Context, timeout time.Duration) bool {
+func (w waiter) wait(ctx context.Context, timeout time.Duration) bool {
 	timer := time.NewTimer(min(timeout, placePollInterval))
 	defer timer.Stop()
 	select {
-	case <-w.wakeup:
+	case <-w:
 	case <-timer.C:
 	case <-ctx.Done():
 		return false
@@ -119,24 +108,27 @@
 	return true
 }
 
-// removeWaiter removes a waiter and wakes the next one.
-func (f *Forwarder) removeWaiter(w *waiter) {
+// removeWaiter removes a waiter and wakes the next one of its pool.
+func (f *Forwarder) removeWaiter(w *waitqueue.Ticket[waiter]) {
 	if w == nil {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.waiters = slices.DeleteFunc(f.waiters, func(o *waiter) bool { return o == w })
-	f.wakeFirst()
+	f.waiting.Remove(w)
+	f.wakeFirst(w.Pool())
 }
 
-// wakeFirst wakes the most urgent waiter to check for a place. f.mu must be held.
-func (f *Forwarder) wakeFirst() {
-	if len(f.waiters) == 0 {
-		return
+// wakeFirst wakes the first waiter of a pool to check for a place. f.mu must be held.
+func (f *Forwarder) wakeFirst(pool string) {
+	if first := f.waiting.First(pool); first != nil {
+		first.Value.wake()
 	}
+}
+
+func (w waiter) wake() {
 	select {
-	case f.waiters[0].wakeup <- struct{}{}:
+	case w <- struct{}{}:
 	default:
 	}
 }
@@ -171,7 +163,7 @@
 	defer f.mu.Unlock()
 	f.metrics.attemptEnded(j.pool, end.String(), j.attempts > 1)
 	f.pool(j.pool).Release(place, end, load, now)
-	f.wakeFirst()
+	f.wakeFirst(j.pool)
 }
 
 // allowAttempt reports whether an attempt at a request may be made. The first attempt is always
--- a/core/forward/predictions.go
+++ b/core/forward/predictions.go
@@ -40,6 +40,15 @@
 	f.admission.Observe(key, j.predicted, actual, now)
 }
 
+// recordServed records that a request was served, as far as that tells when there are places.
+// f.mu must be held.
+func (f *Forwarder) recordServed(j *job, now time.Time) {
+	f.comeback.RecordServed(j.pool, now)
+	if j.predicted > 0 && j.attempts == 1 {
+		f.recordActual(j, now)
+	}
+}
+
 // recordUnfinished records that a request whose time was predicted ended without an answer.
 // It would have taken longer still. If such requests did not count, only those that were served
 // sooner than others would.
--- a/core/forward/replay_test.go
+++ b/core/forward/replay_test.go
@@ -48,6 +48,12 @@
 	// refused holds the times after which others were refused.
 	unheard map[string]int
 	refused map[string][]time.Duration
+	// comeBack makes refused callers come back after the time that they are told. again counts
+	// the refusals of callers that were refused before, and served the callers that got an
+	// answer, by route.
+	comeBack bool
+	again    map[string]int
+	served   map[string]int
 	// holding holds the times for which the results of each kind of request and stage
 	// were held.
 	holding map[string][]time.Duration
@@ -60,6 +66,9 @@
 	since time.Time
 }
 
+// leastUseful is the time left below which callers don't come back.
+const leastUseful = 400 * time.Millisecond
+
 // engineTime is the time that a model engine takes to the first event.
 const engineTime = 200 * time.Millisecond
 
@@ -67,7 +76,7 @@
 	m := &loadModel{
 		config: &proxyconfig.Config{Version: 1, Routes: map[string][]*proxyconfig.Route{}, Pools: map[string]*proxyconfig.Pool{}},
 		lease:  lease.New(), turns: map[string]chan struct{}{}, held: map[string]int{}, results: map[string]heldResult{}, holding: map[string][]time.Duration{},
-		unheard: map[string]int{}, refused: map[string][]time.Duration{},
+		unheard: map[string]int{}, refused: map[string][]time.Duration{}, again: map[string]int{}, served: map[string]int{},
 	}
 	for name, count := range pools {
 		p := &proxyconfig.Pool{Name: name, MaxConns: 100, Pieces: pieces[name]}
@@ -199,18 +208,38 @@
 				}
 				requests.Go(func() {
 					sink := &timedSink{}
+					first := request.ArrivedAt
 					result := f.Serve(context.Background(), request, sink)
+					for again := false; ; again = true {
+						mu.Lock()
+						took := time.Since(request.ArrivedAt)
+						switch {
+						case result.Status == 0:
+							m.served[a.route.Name]++
+						case took >= request.CallerTimeout:
+							m.unheard[a.route.Name]++
+						default:
+							m.refused[a.route.Name] = append(m.refused[a.route.Name], took)
+							if again {
+								m.again[a.route.Name]++
+							}
+						}
+						mu.Unlock()
+						left := request.CallerTimeout - took
+						hint := min(result.RetryAfter, left/3)
+						if !m.comeBack || result.Status == 0 || left < leastUseful || hint <= 0 {
+							break
+						}
+						time.Sleep(hint)
+						next := *request
+						next.ID, next.ArrivedAt, next.CallerTimeout = request.ID+"'", time.Now(), left-hint
+						request = &next
+						result = f.Serve(context.Background(), request, sink)
+					}
 					mu.Lock()
 					defer mu.Unlock()
-					switch took := time.Since(request.ArrivedAt); {
-					case result.Status == 0:
-					case took >= request.CallerTimeout:
-						m.unheard[a.route.Name]++
-					default:
-						m.refused[a.route.Name] = append(m.refused[a.route.Name], took)
-					}
 					sent[a.route.Name]++
-					if !sink.head.IsZero() && sink.head.Sub(request.ArrivedAt) <= a.route.Objective {
+					if !sink.head.IsZero() && sink.head.Sub(first) <= a.route.Objective {
 						onTime[a.route.Name]++
 					}
 				})
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -281,8 +281,8 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if first && j.predicted > 0 && j.attempts == 1 {
-		f.recordActual(j, now)
+	if first && f.opts.Admission {
+		f.recordServed(j, now)
 	}
 	f.pool(j.pool).RecordFirstByte(place, now)
 }
--- a/core/forward/serve.go
+++ b/core/forward/serve.go
@@ -19,6 +19,7 @@
 		refused = f.refuseLate(j)
 	}
 	if refused != nil {
+		refused.RetryAfter = f.retryAfter(p, j, *refused)
 		f.metrics.requestEnded("", "not-run", refused.Reason)
 		tr.Add("refuse", "status", refused.Status, "reason", refused.Reason, "retry", refused.RetryAfter)
 		tr.Finish(true)
@@ -37,11 +38,13 @@
 	if ctx.Err() != nil {
 		result.Disconnected = true
 	}
+	result.RetryAfter = f.retryAfter(p, j, result)
 	late := j.route.Objective > 0 && j.firstByte > j.route.Objective
 	f.metrics.requestEnded(j.route.Kind, result.outcome(late), result.Reason)
 	f.metrics.firstByte(j.route.Kind, j.firstByte)
 	tr.Add("end", "outcome", result.outcome(late), "status", result.Status, "reason", result.Reason, "ran", j.mayHaveRun, "sends", j.attempts,
-		"first", j.firstByte, "aim", j.route.Objective, "left", j.deadline.Sub(f.opts.Now()))
+		"first", j.firstByte, "aim", j.route.Objective, "left", j.deadline.Sub(f.opts.Now()),
+		"retry", result.RetryAfter)
 	tr.Finish(result.Status != 0 || result.Truncated || result.Disconnected || late)
 	return result
 }
--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -45,6 +45,9 @@
 	next        uint64
 	synced      bool
 	recordCache *recordcache.Cache
+	// nextRead is when the next read begins, unless the store is found to have recovered
+	// before. It is modified with the watcher's lock held.
+	nextRead time.Time
 
 	// behind is set after a read of the store that returned only a part of the records
 	// from next on. skipHistory is set if the next read should return the newest record
@@ -117,6 +120,9 @@
 	if d <= 0 {
 		return
 	}
+	f.watcher.mu.Lock()
+	f.nextRead = f.watcher.opts.Now().Add(d)
+	f.watcher.mu.Unlock()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -262,6 +262,18 @@
 // ServersLease returns the lease of the backend servers' records.
 func (w *Watcher) ServersLease() *lease.Lease { return w.serversLease }
 
+// NextRead returns the time until the next read of the operator's records; zero if one is under
+// way or due.
+func (w *Watcher) NextRead() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.followers[sequoialead.TopicOperator]
+	if f == nil {
+		return 0
+	}
+	return max(f.nextRead.Sub(w.opts.Now()), 0)
+}
+
 // Usable returns the backend servers that may get new requests.
 func (w *Watcher) Usable(now time.Time) []serverset.Member {
 	w.mu.Lock()
