--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -145,6 +145,8 @@
 		Entry:       s.name,
 		Domain:      s.domain,
 		Limits:      s.limits(),
+		Admission:   s.admission,
+		NextRead:    watcher.NextRead,
 		DrainNotice: balancerDelay,
 	})
 	return watcher, siblings, forwarder
