balance: Choose the group for each order by predicted end and moved bytes

Cause: orders went to the leader of the entry's own domain until they would be late there, while demand differs by 55% between domains and servers of others were idle.

Change: with the setting balance (default false), an order leaves its group with a probability that grows with the time gained (predicted end, bytes moved between domains, the following stage where its inputs will lie), and goes to any of the better groups by what each gains, so that entries with the same old reports do not herd. The entry's own pieces since a report count. Groups without a recent report get no orders of others. Estimates are the mean over the groups that may be chosen.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -82,11 +82,25 @@
 	// MovedBytes is the number of bytes that have to cross failure domains if the
 	// pieces are made outside Domain.
 	MovedBytes int
+	// ResultDomain is the failure domain where the results are needed, if that is known,
+	// and ResultBytes their size. Following holds the stages that need them.
+	ResultDomain string
+	ResultBytes  int
+	Following    []Following
 	// OnInputsRead is called once calls for all pieces are in flight and their inputs
 	// have been read, if that is known before the results arrive. It may be nil.
 	OnInputsRead func()
 }
 
+// Following is a stage whose pieces need the results of an order.
+type Following struct {
+	Conf   *proxyconfig.Pool
+	Pieces int
+	// MovedBytes is the number of bytes that cross failure domains if the stage is made in
+	// another one than the order.
+	MovedBytes int
+}
+
 // Result is the result of one piece. Server holds it until it is freed.
 type Result struct {
 	Handle string
--- a/core/delegate/delegate.go
+++ b/core/delegate/delegate.go
@@ -51,6 +51,9 @@
 	// over, before the next leader is chosen.
 	OnLeaderLost func()
 	Now          func() time.Time
+	// Balance is set if orders leave the group of their failure domain whenever they are
+	// made sooner elsewhere, not only if they would be late.
+	Balance bool
 }
 
 // backlogMaxAge is how long a leader's report of its backlog is used: as long
@@ -78,11 +81,14 @@
 	groups  map[string]*groups.Groups
 	// backlogs holds the latest report of each leader, by pool and leader.
 	backlogs map[[2]string]backlogReport
+	// sent holds the pieces that this entry has sent to a leader since its latest report,
+	// by urgency.
+	sent map[[2]string][]int
 }
 
 // New returns a delegate of an entry that leads nothing yet.
 func New(opts Options) *Delegate {
-	return &Delegate{opts: opts, groups: map[string]*groups.Groups{}, backlogs: map[[2]string]backlogReport{}}
+	return &Delegate{opts: opts, groups: map[string]*groups.Groups{}, backlogs: map[[2]string]backlogReport{}, sent: map[[2]string][]int{}}
 }
 
 // Update sets the entries and a pool's backend servers, and returns the IDs of
@@ -171,6 +177,9 @@
 // leader of its own group, or that of another group if the order would be late
 // at its own and made sooner there.
 func (d *Delegate) chooseLeader(order batch.Order) string {
+	if d.opts.Balance && order.Conf != nil && order.Conf.Pieces != nil {
+		return d.balancedLeader(order)
+	}
 	request := order.Pieces[0].Request
 	ownLeader := d.leader(order.Pool, request, order.Domain)
 	if order.Conf == nil || order.Conf.Pieces == nil {
@@ -221,6 +230,7 @@
 // another leader should be tried.
 func (d *Delegate) orderFrom(ctx context.Context, leader string, order batch.Order) ([]batch.Result, sequoialead.Reason, bool) {
 	now := d.opts.Now()
+	d.recordSent(order.Pool, leader, order.Urgency, len(order.Pieces))
 	result, ok := d.opts.Siblings.Order(ctx, leader, protocol.Order{
 		Pool: order.Pool, Urgency: order.Urgency, Pieces: order.Pieces, DueIn: order.DueAt.Sub(now), ExpiresIn: order.ExpiresAt.Sub(now), Domain: order.Domain,
 		MovedBytes: order.MovedBytes,
@@ -263,6 +273,9 @@
 	if conf == nil || conf.Pieces == nil {
 		return 0
 	}
+	if d.opts.Balance {
+		return d.expected(conf, request, urgency, pieces)
+	}
 	return d.estimate(conf, d.leader(conf.Name, request, ""), urgency, pieces)
 }
 
@@ -281,7 +294,7 @@
 	if d.opts.Now().Sub(report.receivedAt) > backlogMaxAge {
 		return protocol.Backlog{}
 	}
-	return report.backlog
+	return addSent(report.backlog, d.sent[[2]string{pool, leader}])
 }
 
 // scarceRoomShare is the part of the room for results above which results that
@@ -324,6 +337,7 @@
 func (d *Delegate) updateBacklog(pool, leader string, backlog protocol.Backlog) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.sent, [2]string{pool, leader})
 	d.backlogs[[2]string{pool, leader}] = backlogReport{backlog: backlog, receivedAt: d.opts.Now()}
 }
 
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -311,6 +311,68 @@
 	}
 }
 
+// With balancing, orders leave a group with a backlog before they would be late there.
+func TestOrdersLeaveBacklogEarly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	play := func(enabled bool) (moved int) {
+		s := &fakeSystem{siblingReachable: true, siblingLost: false}
+		b := batch.New(batch.Options{Metrics: metrics.NewSet(), Maker: s, Pools: s, Log: klog.Logger{}, Now: func() time.Time { return now }})
+		d := delegate.New(delegate.Options{Entry: "me", Domain: "a", Batcher: b, Siblings: s, Log: klog.Logger{}, Now: func() time.Time { return now }, OnLeaderLost: func() {}, Balance: enabled})
+		updateTwoDomains(d)
+		for i := range 12 {
+			reported := protocol.Backlog{Servers: 6, CallTime: 100 * time.Millisecond, PiecesPerCallTime: 24}
+			if i%2 == 0 {
+				reported.Pieces, reported.Calls = []int{96}, 6 // 0.4 s in domain a
+			}
+			d.UpdateBacklogs(fmt.Sprint(string(rune('a'+i%2)), i), map[string]protocol.Backlog{"encode": reported})
+		}
+		for n := range 200 {
+			o := order(1)
+			o.Pieces[0].Request, o.Conf, o.DueAt = fmt.Sprint(n), s.Conf(""), now.Add(2*time.Second)
+			_, _ = d.Make(context.Background(), o)
+			if s.askedEntries[len(s.askedEntries)-1][:1] == "b" {
+				moved++
+			}
+			// The fake sibling's answer reports a backlog; what was known stays.
+			d.UpdateBacklogs(s.askedEntries[len(s.askedEntries)-1], map[string]protocol.Backlog{"encode": {Servers: 6, CallTime: 100 * time.Millisecond, PiecesPerCallTime: 24, Pieces: map[byte][]int{'a': {96}}[s.askedEntries[len(s.askedEntries)-1][0]]}})
+		}
+		return moved
+	}
+	c := qt.New(t)
+	c.Assert(play(false), qt.Equals, 0)
+	moved := play(true)
+	c.Assert(moved > 150, qt.IsTrue, qt.Commentf("%d", moved)) // 0.4 s sooner
+}
+
+// The pieces that this entry has sent since a group's last report count in its estimate, or
+// else a burst would all go to the group that looked idle.
+func TestSentOrdersCountUntilReport(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := &fakeSystem{siblingReachable: true, siblingLost: true}
+	b := batch.New(batch.Options{Metrics: metrics.NewSet(), Maker: s, Pools: s, Log: klog.Logger{}, Now: func() time.Time { return now }})
+	c.Assert(b.Start(context.Background()), qt.IsNil)
+	defer func() { c.Assert(b.Close(), qt.IsNil) }()
+	d := delegate.New(delegate.Options{Entry: "me", Domain: "a", Batcher: b, Siblings: s, Log: klog.Logger{}, Now: func() time.Time { return now }, OnLeaderLost: func() {}, Balance: true})
+	updateTwoDomains(d)
+	report := func() {
+		for i := range 12 {
+			d.UpdateBacklogs(fmt.Sprint(string(rune('a'+i%2)), i), map[string]protocol.Backlog{"encode": {Servers: 6, CallTime: 100 * time.Millisecond, PiecesPerCallTime: 24}})
+		}
+	}
+	report()
+	conf := s.Conf("")
+	before := d.Estimate(conf, "r", 0, 1)
+	for n := range 30 {
+		o := order(4)
+		o.Pieces[0].Request, o.Conf, o.DueAt = fmt.Sprint(n), conf, now.Add(2*time.Second)
+		_, _ = d.Make(context.Background(), o) // the connection is lost before an answer
+	}
+	c.Assert(d.Estimate(conf, "r", 0, 1) > before+100*time.Millisecond, qt.IsTrue)
+	report()
+	c.Assert(d.Estimate(conf, "r", 0, 1), qt.Equals, before)
+}
+
 // An order that would be late at its own group goes to another group with a shorter
 // backlog.
 func TestLateOrderGoesToAnotherGroup(t *testing.T) {
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -64,6 +64,9 @@
 	// DrainNotice is how long a leaving entry continues to accept requests that may
 	// last longer than it runs.
 	DrainNotice time.Duration
+	// Balance is set if orders for pieces are made wherever they are made soonest, and
+	// those that are of no use any more are withdrawn.
+	Balance bool
 }
 
 // Limits holds the settings that may change while the entry runs.
@@ -153,7 +156,7 @@
 	f.batcher = batch.New(batch.Options{Maker: opts.Maker, Pools: poolAccess{f}, Log: opts.Log, Metrics: opts.Metrics, Now: opts.Now})
 	f.delegate = delegate.New(delegate.Options{
 		Entry: opts.Entry, Domain: opts.Domain, Batcher: f.batcher, Siblings: opts.Siblings, Log: opts.Log, Now: opts.Now,
-		OnLeaderLost: f.Refresh,
+		OnLeaderLost: f.Refresh, Balance: opts.Balance,
 	})
 	return f
 }
--- a/core/forward/stages.go
+++ b/core/forward/stages.go
@@ -78,7 +78,7 @@
 	name := j.route.Stages[i].Pool
 	start := f.opts.Now()
 	domain, moved := f.preferredDomain(j, i, s.pieceCounts[i], s.results)
-	results, reason := f.delegate.Make(ctx, batch.Order{
+	order := batch.Order{
 		Pool: name, Conf: poolAccess{f}.Conf(name), Urgency: j.urgency, Pieces: stagePieces(j, i, s.pieceCounts[i], s.results), Domain: domain, MovedBytes: moved,
 		DueAt:     j.request.ArrivedAt.Add(j.route.Objective - f.timeAfter(j, s.pieceCounts, i)),
 		ExpiresAt: j.stagesDeadline(),
@@ -87,7 +87,11 @@
 				dropInputs() // frees room early, but if a piece then fails and is retried, its inputs may be gone
 			}
 		},
-	})
+	}
+	if f.opts.Balance {
+		f.addDestination(&order, j, i, s.pieceCounts)
+	}
+	results, reason := f.delegate.Make(ctx, order)
 	s.results[i] = results
 	took := f.opts.Now().Sub(start)
 	f.metrics.stageTime(name, took)
@@ -169,6 +173,22 @@
 	return domain, count * held
 }
 
+// addDestination adds to a stage's order where its results will be needed: by the stages that
+// follow, or by the request itself.
+func (f *Forwarder) addDestination(order *batch.Order, j *job, stage int, counts []int) {
+	bytes := counts[stage] * j.route.Stages[stage].Bytes
+	for k, s := range j.route.Stages {
+		if counts[k] > 0 && slices.Contains(s.After, stage) {
+			order.Following = append(order.Following, batch.Following{Conf: poolAccess{f}.Conf(s.Pool), Pieces: counts[k], MovedBytes: counts[k] * bytes})
+		}
+	}
+	if len(order.Following) == 0 && len(j.route.Stages[stage].After) > 0 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		order.ResultDomain, order.ResultBytes = f.pool(j.pool).HomeDomain(j.request.Prompt), bytes
+	}
+}
+
 // largestHolder returns the failure domain that holds the most bytes of the results,
 // and the number of these bytes.
 func largestHolder(results []batch.Result) (domain string, bytes int) {
--- a/core/groups/groups.go
+++ b/core/groups/groups.go
@@ -90,6 +90,23 @@
 	return leaders
 }
 
+// Group is one group of a pool.
+type Group struct {
+	// Domain is the failure domain of its backend servers; empty for the only group of a
+	// pool that is not divided.
+	Domain string
+	Leader string
+}
+
+// List returns all groups, in the order of their names.
+func (g *Groups) List() []Group {
+	list := make([]Group, len(g.names))
+	for i, name := range g.names {
+		list[i] = Group{Domain: name, Leader: g.leaders[name]}
+	}
+	return list
+}
+
 // Servers returns the IDs of the backend servers that an entry leads.
 func (g *Groups) Servers(entry string) map[string]bool { return g.servers[entry] }
 
