--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -148,6 +148,7 @@
 		Admission:   s.admission,
 		NextRead:    watcher.NextRead,
 		DrainNotice: balancerDelay,
+		Balance:     s.balance,
 	})
 	return watcher, siblings, forwarder
 }
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -46,6 +46,7 @@
 	outlier bool
 	// admission makes requests be admitted and ended by a prediction for their whole path.
 	admission bool
+	balance   bool
 	level     int
 }
 
@@ -91,6 +92,7 @@
 	flags.DurationVar(&s.hold, "hold", defaultGatewayHold, "the longest time for which a backend server that wants no requests for a while gets none, such as 5m")
 	flags.BoolVar(&s.outlier, "outlier", false, "eject backend servers that fail all requests although their records look good")
 	flags.BoolVar(&s.admission, "admission", false, "admit requests, and end them, by a prediction for their whole path, and tell refused callers when a place is likely")
+	flags.BoolVar(&s.balance, "balance", false, "whether pieces of stages are made wherever they are made soonest, and what is of no use any more is withdrawn")
 	flags.IntVar(&s.level, "level", 0, "the verbosity of the log, from 0")
 }
 
