pace: Weigh the pace of shared machines and slow engines

Cause: a load header with a fourth figure (how long work takes at the server's machine now) is not understood at all, so its other figures are lost too. The cost of a model engine counts tokens, so an engine that is slow by itself gets as many as the others. A server that failed once is avoided until all others are full, also after it has recovered.

Change: ServerLoad.Pace holds the figure; what can't be one counts as none, and further fields are ignored. core/pace averages and ages it, and core/pool uses it as a factor on the predicted time of requests and calls and on the predicted time to the first event. With the setting outlier, engines' times in relation to the pool's are a second factor, and the penalty for failures halves every 10 s.

--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -42,6 +42,7 @@
 	case err != nil:
 		end = pool.EndFailed
 	default:
+		c.place.Reported = said.Load
 		b.opts.Pools.RecordFirstByte(c.q.name, c.place)
 	}
 	b.opts.Pools.RecordNotice(c.place.Server.ID, c.batch[0].piece.Request, said.Notice)
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -135,6 +135,7 @@
 	if err != nil {
 		return f.handleError(ctx, j, place, err)
 	}
+	place.Reported = response.Load
 	f.recordNotice(j, place, response.Notice)
 	defer func() { _ = response.Body.Close() }() // a body that was read completely is already closed
 	if response.NotRun || response.Misdirected {
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -65,6 +65,11 @@
 	m := place.member
 	m.pendingTokens -= place.tokens
 	took := now.Sub(place.start).Seconds()
+	if place.Reported != nil {
+		m.recordPace(place.Reported.Pace, now)
+	}
+	took /= place.paceDuring(now)
+	p.recordOwnPace(place, took, now)
 	p.firstByte.add(float64(place.tokens+place.PendingTokens), took)
 	if m.latency == 0 {
 		m.latency = took
@@ -172,6 +177,9 @@
 func (p *Pool) recordLoad(place *Place, load sequoialead.ServerLoad, now time.Time) {
 	m := place.member
 	m.load, m.loadAt, m.sentSince = load, now, 0
+	if place.Reported == nil || !place.firstByteRecorded {
+		m.recordPace(load.Pace, now) // else it is the figure of the answer's head, which may be long ago
+	}
 }
 
 // home returns the hash of the backend server that a prompt's shared parts are
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -13,6 +13,7 @@
 	"sequoialead"
 	"sequoialead/core/availability"
 	"sequoialead/core/outlier"
+	"sequoialead/core/pace"
 	"sequoialead/core/prefixcache"
 	"sequoialead/core/proxyconfig"
 	"sequoialead/core/retries"
@@ -76,7 +77,13 @@
 	// Failing is set before RecordFirstByte if the answer reports a failure of the server.
 	Failing bool
 	// probe is set if the request probes an ejected server.
-	probe             bool
+	probe bool
+	// Reported is the load that came with the head of the answer, and is set before
+	// RecordFirstByte; nil if there was none.
+	Reported *sequoialead.ServerLoad
+	// pace is the factor of the server's machine when the place was acquired; zero if it was
+	// not known.
+	pace              float64
 	member            *member
 	tokens            int
 	start             time.Time
@@ -98,9 +105,12 @@
 	cache *prefixcache.Cache
 	// failureRate is a moving average of failures, from 0 to 1.
 	failureRate float64
-	// latency is a moving average of the time to the first byte, in seconds; 0 if
-	// unknown.
+	// latency is a moving average of the time to the first byte at the usual pace, in
+	// seconds; 0 if unknown.
 	latency float64
+	// pace is that of the server's machine as it reports it, and own that of the server itself,
+	// in relation to the pool.
+	pace, own *pace.Tracker
 	// load is the load that the backend server last reported, and loadAt when.
 	load   sequoialead.ServerLoad
 	loadAt time.Time
@@ -121,6 +131,8 @@
 	entries  int
 	// recordsRead is when the records of the backend servers were last read.
 	recordsRead time.Time
+	// updatedAt is when Update was called last.
+	updatedAt time.Time
 	// led holds the IDs of the backend servers that this entry leads.
 	led    map[string]bool
 	budget *retries.Budget
@@ -225,6 +237,8 @@
 	p.entries = max(view.Entries, 1)
 	p.led = view.Led
 	p.recordsRead = view.ReadAt
+	sinceUpdate := now.Sub(p.updatedAt)
+	p.updatedAt = now
 	old := make(map[string]*member, len(p.members))
 	for _, m := range p.members {
 		old[m.Server.ID] = m
@@ -236,10 +250,14 @@
 			replacement := &member{
 				state: p.register.Get(e.Server, now), cache: prefixcache.New(p.conf.MemoryTokens), hash: xxhash.Sum64String(e.Server.ID),
 			}
+			replacement.pace, replacement.own = newPaceTrackers()
 			replacement.state.MarkCold(now.Add(availability.ColdPeriod))
 			m = replacement
 		}
 		m.Member = e
+		if p.opts.Limits.Outlier {
+			m.failureRate *= penaltyDecay(sinceUpdate)
+		}
 		p.register.Get(e.Server, now)
 		m.state.MarkCold(e.ReadAt.Add(e.Server.ColdLeft))
 		p.members = append(p.members, m)
@@ -256,7 +274,7 @@
 	if best == nil {
 		return nil, reason
 	}
-	place := &Place{Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, AtHome: best.hash == home, member: best, start: now}
+	place := &Place{Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, AtHome: best.hash == home, pace: best.paceAtStart(now), member: best, start: now}
 	if p.conf.Slots > 0 {
 		place.tokens = max(request.Prompt.Input-best.cache.Cached(request.Prompt), 0)
 		best.pendingTokens += place.tokens
@@ -389,7 +407,7 @@
 func (p *Pool) cost(m *member, request Request, home uint64, domain string, now time.Time) float64 {
 	running, waiting := m.estimatedLoad(now)
 	if p.conf.Slots == 0 {
-		latency := cmp.Or(m.latency, defaultLatency)
+		latency := cmp.Or(m.latency, defaultLatency) * m.speed(now)
 		slots := float64(max(m.Server.Slots, 1))
 		factor := 1 + max(float64(running+waiting+1)-slots, 0)/slots + 0.3*float64(running)/slots + failurePenalty*m.failureRate
 		if m.Server.Domain != domain {
@@ -402,7 +420,7 @@
 	}
 	uncached := float64(max(request.Prompt.Input-m.cache.Cached(request.Prompt), 0))
 	utilization := min(2*float64(running)/float64(p.conf.Slots), 1)
-	cost := uncached + float64(m.pendingTokens) + tokensPerRunning*utilization*float64(running) + tokensPerRunning*float64(waiting)
+	cost := m.speed(now) * (uncached + float64(m.pendingTokens) + tokensPerRunning*utilization*float64(running) + tokensPerRunning*float64(waiting))
 	cost += failurePenalty * tokensPerRunning * 10 * m.failureRate
 	if home != 0 && home != m.hash {
 		cost += duplicateShare * float64(sharedTokens(request.Prompt))
--- a/core/pool/predict.go
+++ b/core/pool/predict.go
@@ -52,5 +52,16 @@
 	}
 	uncached := max(prompt.Input-sharedTokens(prompt), 0)
 	seconds := p.firstByte.predict(float64(uncached + pending/len(p.members)))
-	return time.Duration(seconds * float64(time.Second)), true
+	return time.Duration(seconds * p.Pace(p.updatedAt) * float64(time.Second)), true
+}
+
+// recordOwnPace records how long a model engine took to the first byte, at the usual pace of its
+// machine, in relation to what is predicted for the pool.
+func (p *Pool) recordOwnPace(place *Place, seconds float64, now time.Time) {
+	if !p.opts.Limits.Outlier || p.conf.Slots == 0 || p.firstByte.n < minObservations {
+		return
+	}
+	if predicted := p.firstByte.predict(float64(place.tokens + place.PendingTokens)); predicted > 0 {
+		place.member.own.Record(seconds/predicted, now)
+	}
 }
--- a/proxy.go
+++ b/proxy.go
@@ -109,6 +109,9 @@
 	Running int
 	Queued  int
 	Slots   int
+	// Pace is how long work takes at the server's machine at this moment, in percent of the
+	// usual; 0 if unknown. It changes many times a second.
+	Pace int
 }
 
 // ServerNotice is what a backend server says of itself in an answer.
