--- a/testscripts/gateway_test.go
+++ b/testscripts/gateway_test.go
@@ -48,6 +48,8 @@
 	revocationTimeout time.Duration
 	// memory is the maximum memory of a gateway in MB; 0 for gatewayMemory.
 	memory int
+	// files is the maximum number of descriptors of a gateway's process; 0 for the test's own.
+	files int
 }
 
 // gatewayMemory is the maximum memory of a gateway in MB unless a test sets another.
@@ -198,6 +200,9 @@
 	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	qt.Assert(g.t, err, qt.IsNil)
 	p.cmd = exec.Command(binary, "gateway", "--config", p.configPath)
+	if g.files > 0 {
+		p.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" gateway --config "$1"`, g.files), binary, p.configPath)
+	}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	qt.Assert(g.t, p.cmd.Start(), qt.IsNil)
 	p.exited = make(chan error, 1)
