forward: Answer 502 for a stream cut before its first event

Cause: of a stream that may not be resumed, bytes were passed on as they came. One that broke inside its first event, with those bytes still in our buffers, ended as a closed connection; so did one whose break came in the same read as its bytes. Change: the head goes out with the first complete event (at most 16 KB are held back), and bytes that come together with a break before it are dropped. An incomplete event is of no use to a client, so no event is later for it. Two tests of a leaving entry took any answer with status 0 for an accepted stream. Their stand-in sent text that ends inside an event, which was cut before too; they now send whole events and check besides that the answer isn't truncated.

--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -432,7 +432,10 @@
 	w.setRoute(proxyconfig.Route{Kind: proxyconfig.KindStream, Pools: []proxyconfig.WeightedPool{{Pool: "desk", Weight: 1}}})
 	f := w.newForwarder(t)
 	f.Drain(w.now.Add(7 * time.Second))
-	c.Assert(f.Serve(context.Background(), newProxyRequest(w), &recordingSink{}).Status, qt.Equals, 0)
+	w.script = []string{"events"}
+	served := f.Serve(context.Background(), newProxyRequest(w), &recordingSink{})
+	c.Assert(served.Status, qt.Equals, 0)
+	c.Assert(served.Truncated, qt.IsFalse)
 	w.advance(2100 * time.Millisecond)
 	v := f.Serve(context.Background(), newProxyRequest(w), &recordingSink{})
 	c.Assert(v.Status, qt.Equals, http.StatusServiceUnavailable)
--- a/core/forward/leaving_test.go
+++ b/core/forward/leaving_test.go
@@ -47,6 +47,9 @@
 			c := qt.New(t)
 			w := newFakePlatform()
 			w.setRoute(proxyconfig.Route{Kind: test.kind, Timeout: test.routeTimeout, Pools: []proxyconfig.WeightedPool{{Pool: "desk", Weight: 1}}})
+			if test.kind == proxyconfig.KindStream {
+				w.script = []string{"events"}
+			}
 			f := w.newForwarder(t)
 			f.Drain(w.clock().Add(runs))
 			w.advance(test.after)
@@ -55,6 +58,7 @@
 			v := f.Serve(context.Background(), p, &recordingSink{})
 			if !test.refused {
 				c.Assert(v.Status, qt.Equals, 0)
+				c.Assert(v.Truncated, qt.IsFalse)
 				c.Assert(w.attempts, qt.HasLen, 1)
 				return
 			}
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -27,6 +27,9 @@
 	// events are passed on, so an event without end would be held in memory, for each
 	// stream in flight.
 	maxEventBytes = 64 << 10
+	// maxHeldBytes is the maximum size of the start of a stream that is held back until its first
+	// event is complete, so that a stream that breaks before can be answered with a failure.
+	maxHeldBytes = 16 << 10
 	// maxDiscardBytes and discardTimeout bound the rest of an answer that is read only to
 	// keep its connection.
 	maxDiscardBytes = 64 << 10
@@ -293,7 +296,8 @@
 
 // stream passes events on as they arrive. Of a resumable stream only complete
 // events are passed on, so that another backend server can continue it. A stream that ends
-// inside an event was broken off, and so was one without any that ends with its connection.
+// inside an event was broken off, and so was one without any that ends with its connection. The
+// head is sent with the first complete event.
 func (f *Forwarder) stream(ctx context.Context, j *job, place *pool.Place, r *sequoialead.Response, sink Sink) (pool.End, action, sequoialead.Reason) {
 	splitter := sse.New()
 	hasEvents := isEventStream(r.Header)
@@ -302,6 +306,7 @@
 	sound := false
 	longestGap := time.Duration(0)
 	received := 0
+	var held []byte // the start of the first event
 	defer func() { f.metrics.eventGap(longestGap) }()
 	for {
 		n, err := r.Body.Read(buf)
@@ -334,6 +339,18 @@
 			sound = true
 			f.recordAnswer(j, firstRead)
 		}
+		broken := err != nil && !errors.Is(err, io.EOF)
+		switch {
+		case j.headSent || j.route.Resumable && hasEvents: // the splitter holds back incomplete events
+		case broken && !splitter.Begun():
+			data = nil
+		case hasEvents:
+			held = append(held, data...)
+			data = nil
+			if splitter.Begun() || err != nil || len(held) > maxHeldBytes {
+				data, held = held, nil
+			}
+		}
 		if len(data) > 0 {
 			f.recordFirstByte(j, place)
 			f.releaseInputs(j)
--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -16,6 +16,8 @@
 	// bytes, which the last call of Feed has returned.
 	partial  []byte
 	returned int
+	// begun is set once there was a complete event.
+	begun bool
 	// lastID is the ID of the latest complete event that has one.
 	lastID string
 }
@@ -32,6 +34,7 @@
 	s.returned = 0
 	if end := completeLength(s.partial[searched:]); end > 0 {
 		s.returned = searched + end
+		s.begun = true
 		s.updateLastID(s.partial[:s.returned])
 	}
 	return s.partial[:s.returned]
@@ -41,7 +44,9 @@
 // incomplete event.
 func (s *Splitter) Skim(data []byte) {
 	s.partial = append(s.partial, data...)
-	s.partial = s.partial[completeLength(s.partial):]
+	complete := completeLength(s.partial)
+	s.begun = s.begun || complete > 0
+	s.partial = s.partial[complete:]
 	if len(s.partial) > maxSkimmed {
 		s.partial = append(s.partial[:0], s.partial[len(s.partial)-maxSkimmed:]...)
 	}
@@ -51,6 +56,9 @@
 // Skim.
 func (s *Splitter) Pending() int { return len(s.partial) - s.returned }
 
+// Begun reports whether there was a complete event.
+func (s *Splitter) Begun() bool { return s.begun }
+
 // LastID returns the ID of the latest complete event that has one, or an empty
 // string.
 func (s *Splitter) LastID() string { return s.lastID }
