--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -101,6 +101,8 @@
 	return []membership.Member{{Name: "e", Domain: "a"}}
 }
 func (w *fakePlatform) Usable(time.Time) []serverset.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	var list []serverset.Member
 	for _, s := range w.servers {
 		list = append(list, serverset.Member{Server: s})
--- a/core/forward/replay_test.go
+++ b/core/forward/replay_test.go
@@ -42,6 +42,9 @@
 	held    map[string]int
 	results map[string]heldResult
 	made    int
+	// losesAnswer reports whether the answer of a server to a request is lost, which it runs;
+	// nil if none is.
+	losesAnswer func(server sequoialead.Server) bool
 	// admission is the setting of the same name.
 	admission bool
 	// unheard counts, by route, the requests that ended at or after their deadline, and
@@ -102,7 +105,10 @@
 	return []membership.Member{{Name: "e", Domain: "a"}}
 }
 
-func (m *loadModel) Exchange(ctx context.Context, _ sequoialead.ProxyAttempt) (*sequoialead.Response, error) {
+func (m *loadModel) Exchange(ctx context.Context, attempt sequoialead.ProxyAttempt) (*sequoialead.Response, error) {
+	if m.losesAnswer != nil && m.losesAnswer(attempt.Server) {
+		<-ctx.Done()
+	}
 	select {
 	case <-time.After(engineTime):
 	case <-ctx.Done():
@@ -175,7 +181,7 @@
 	t.Helper()
 	m.lease.Renew(time.Now().Add(time.Hour))
 	for i := range load {
-		load[i].route.Host, load[i].route.Prefix, load[i].route.MaxAttempts = load[i].route.Name, "/", 1
+		load[i].route.Host, load[i].route.Prefix, load[i].route.MaxAttempts = load[i].route.Name, "/", max(load[i].route.MaxAttempts, 1)
 		m.config.Routes[load[i].route.Name] = []*proxyconfig.Route{&load[i].route}
 	}
 	f := forward.New(forward.Options{
