--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -56,17 +56,9 @@
 		if !strings.Contains(scanner.Text(), "id="+t.id) {
 			continue
 		}
-		fields := parse(scanner.Text())
-		if fields["id"] != t.id || fields["event"] == "" {
-			continue
-		}
-		at, err := time.Parse(time.RFC3339Nano, fields["time"])
-		if err != nil {
-			continue
+		if fields := parse(scanner.Text()); fields["id"] == t.id {
+			t.add(fields)
 		}
-		t.steps = append(t.steps, Step{
-			Time: at, At: roundDuration(fields["at"]), Instance: fields["instance"], Event: fields["event"], Text: describe(fields), Fields: fields,
-		})
 	}
 	if err := scanner.Err(); err != nil {
 		return sequoialead.ErrInvalid.Wrap(err, "a log cannot be read to its end")
@@ -74,6 +66,17 @@
 	return nil
 }
 
+// add adds the event of a line with the given fields, if there is one.
+func (t *Timeline) add(fields map[string]string) {
+	at, err := time.Parse(time.RFC3339Nano, fields["time"])
+	if err != nil || fields["event"] == "" {
+		return
+	}
+	t.steps = append(t.steps, Step{
+		Time: at, At: roundDuration(fields["at"]), Instance: fields["instance"], Event: fields["event"], Text: describe(fields), Fields: fields,
+	})
+}
+
 // Steps returns the events in order: those of the same process by the time since
 // the arrival, others by the clocks of their processes.
 func (t *Timeline) Steps() []Step {
--- a/core/forward/serve.go
+++ b/core/forward/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"sequoialead"
 )
@@ -44,7 +45,7 @@
 	f.metrics.firstByte(j.route.Kind, j.firstByte)
 	tr.Add("end", "outcome", result.outcome(late), "status", result.Status, "reason", result.Reason, "ran", j.mayHaveRun, "sends", j.attempts,
 		"first", j.firstByte, "aim", j.route.Objective, "left", j.deadline.Sub(f.opts.Now()),
-		"retry", result.RetryAfter)
+		"retry", result.RetryAfter, "predicted", time.Duration(j.factor*float64(j.predicted)))
 	tr.Finish(result.Status != 0 || result.Truncated || result.Disconnected || late)
 	return result
 }
