admission: Refuse at once what cannot be served

A request for a pool without any backend server waited for a place or until its stages expired, and one whose caller had little time left waited for a renewed lease beyond it. Both are refused at once with `admission`. Once a stage is done, only an uncorrected prediction ends the request, so that its results are thrown away only if that is certain.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -205,9 +205,14 @@
 }
 
 // Hopeless reports whether a request that was admitted can no longer be answered in the time
-// left.
+// left. Once a stage is done, the prediction counts without its correction: what was done is
+// thrown away only if that is certain.
 func (c *Controller) Hopeless(r Request, now time.Time) bool {
-	return c.Predict(r.Key, r.Path, now) > r.Left-ReplyTime(r.Elapsed+r.Left)
+	predicted := c.Predict(r.Key, r.Path, now)
+	if r.Path.Worked() {
+		predicted = min(predicted, r.Path.Remaining())
+	}
+	return predicted > r.Left-ReplyTime(r.Elapsed+r.Left)
 }
 
 // ReplyTime returns the part of a request's whole time that is kept for a refusal to reach the
--- a/core/admission/path.go
+++ b/core/admission/path.go
@@ -47,6 +47,17 @@
 	return last + p.Wait + p.FirstEvent
 }
 
+// Worked reports whether a stage of the request is done, so that ending the request throws its
+// results away.
+func (p Path) Worked() bool {
+	for _, s := range p.Stages {
+		if s.Started && s.Done {
+			return true
+		}
+	}
+	return false
+}
+
 // Queues reports whether the request has to wait for others: in stages or for a place.
 func (p Path) Queues() bool {
 	for _, s := range p.Stages {
--- a/core/explain/summary.go
+++ b/core/explain/summary.go
@@ -244,10 +244,10 @@
 
 // eventName names an event and what it is about.
 func eventName(s Step) string {
-	switch {
-	case s.Event == "stage":
+	switch s.Event {
+	case "stage":
 		return fmt.Sprintf("stage %s (pool %s)", s.Fields["stage"], s.Fields["pool"])
-	case s.Event == "arrive":
+	case "arrive":
 		return "arrival"
 	}
 	return s.Event
--- a/core/forward/admit.go
+++ b/core/forward/admit.go
@@ -7,6 +7,7 @@
 
 	"sequoialead"
 	"sequoialead/common/requestlog"
+	"sequoialead/core/admission"
 	"sequoialead/core/batch"
 	"sequoialead/core/comeback"
 	"sequoialead/core/proxyconfig"
@@ -147,11 +148,15 @@
 // than the limit are known, because the newest read has seen those before its start.
 // The arrival is late enough, since the request was sent before it.
 func (f *Forwarder) keysCurrent(ctx context.Context, p *sequoialead.ProxyRequest) bool {
+	timeout := leaseTimeout
+	if f.opts.Admission && p.CallerTimeout > 0 {
+		timeout = min(timeout, p.CallerTimeout-admission.ReplyTime(p.CallerTimeout))
+	}
 	for elapsed := time.Duration(0); ; elapsed += leasePollInterval {
 		if f.opts.Knowledge.Lease().Valid(p.ArrivedAt, f.revokeLimit()-revokeMargin) {
 			return true
 		}
-		if elapsed >= leaseTimeout {
+		if elapsed >= timeout {
 			return false
 		}
 		select {
--- a/core/forward/hopeless.go
+++ b/core/forward/hopeless.go
@@ -19,6 +19,10 @@
 // refuseUnservable refuses a request that is predicted to miss its objective or its deadline.
 // It returns nil if the request may proceed.
 func (f *Forwarder) refuseUnservable(j *job) *Result {
+	if f.lacksServers(j) {
+		result := j.refusal(sequoialead.ReasonNone)
+		return &result
+	}
 	path := f.path(j)
 	now := f.opts.Now()
 	f.mu.Lock()
@@ -38,6 +42,25 @@
 	return &result
 }
 
+// lacksServers reports whether a pool that the request needs is known to have no backend server.
+func (f *Forwarder) lacksServers(j *job) bool {
+	if !f.opts.Knowledge.ServersLease().Valid(f.opts.Now(), notFoundMaxAge) {
+		return false
+	}
+	needed := []string{j.pool}
+	for i, count := range pieceCounts(j) {
+		if count > 0 {
+			needed = append(needed, j.route.Stages[i].Pool)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(needed, func(name string) bool {
+		servers, _ := f.pool(name).Load()
+		return servers == 0
+	})
+}
+
 // admissionRequest returns the input for a decision on a request.
 func (f *Forwarder) admissionRequest(j *job, path admission.Path, now time.Time) admission.Request {
 	return admission.Request{
@@ -48,16 +71,20 @@
 
 // path returns the predicted path of a request whose stages have not started.
 func (f *Forwarder) path(j *job) admission.Path {
-	path := admission.Path{FirstEvent: f.firstEventEstimate(j), Wait: f.placeWait(j)}
 	counts := pieceCounts(j)
+	stages := make([]admission.Stage, len(counts))
 	for i, count := range counts {
-		stage := admission.Stage{After: j.route.Stages[i].After}
+		stages[i].After = j.route.Stages[i].After
 		if count > 0 {
-			stage.Estimate = f.estimateStage(j, i, count)
+			stages[i].Estimate = f.estimateStage(j, i, count)
 		}
-		path.Stages = append(path.Stages, stage)
 	}
-	return path
+	return f.pathAfter(j, stages)
+}
+
+// pathAfter returns the predicted path of a request with the given stages.
+func (f *Forwarder) pathAfter(j *job, stages []admission.Stage) admission.Path {
+	return admission.Path{Stages: stages, Wait: f.placeWait(j), FirstEvent: f.firstEventEstimate(j)}
 }
 
 // placeWait predicts the wait for a place: the requests before this one get theirs at the rate at
@@ -148,7 +175,9 @@
 		now := f.opts.Now()
 		f.mu.Lock()
 		request := f.admissionRequest(j, path, now)
-		request.Left = min(request.Left, j.stagesDeadline().Sub(now)+path.FirstEvent) // what is abandoned then had better end now
+		if !path.Worked() {
+			request.Left = min(request.Left, j.stagesDeadline().Sub(now)+path.FirstEvent) // what is abandoned then had better end now
+		}
 		predicted := f.admission.Predict(request.Key, path, now)
 		hopeless := f.admission.Hopeless(request, now)
 		f.mu.Unlock()
@@ -170,22 +199,30 @@
 
 // path returns the predicted rest of the request's path.
 func (s *stageRun) path() admission.Path {
-	path := s.f.path(s.j)
-	now := s.f.opts.Now()
+	stages := make([]admission.Stage, len(s.pieceCounts))
+	for i, count := range s.pieceCounts {
+		stages[i] = s.stage(i)
+		if count > 0 && !stages[i].Started {
+			stages[i].Estimate = s.f.estimateStage(s.j, i, count)
+		}
+	}
+	return s.f.pathAfter(s.j, stages)
+}
+
+// stage returns how far a stage is. Its estimate is that at its start.
+func (s *stageRun) stage(i int) admission.Stage {
+	stage := admission.Stage{After: s.j.route.Stages[i].After}
+	select {
+	case <-s.done[i]:
+		stage.Done = true
+	default:
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range path.Stages {
-		stage := &path.Stages[i]
-		select {
-		case <-s.done[i]:
-			stage.Done = true
-		default:
-		}
-		if !s.started[i].IsZero() {
-			stage.Started, stage.Estimate, stage.Elapsed = true, s.estimates[i], now.Sub(s.started[i])
-		}
+	if !s.started[i].IsZero() {
+		stage.Started, stage.Estimate, stage.Elapsed = true, s.estimates[i], s.f.opts.Now().Sub(s.started[i])
 	}
-	return path
+	return stage
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -286,6 +286,26 @@
 	})
 }
 
+// Callers that are refused for a stale configuration are told when it is read next. That has to be
+// known while the store answers and while it fails.
+func TestNextReadIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &store{records: map[sequoialead.Topic][]sequoialead.Item{}}
+		s.put(sequoialead.TopicOperator, "config", "1")
+		w := newWatcher(t, s)
+		synctest.Wait()
+		c.Check(w.NextRead(), qt.Equals, 20*time.Millisecond) // half of Options.Apply
+		time.Sleep(5 * time.Millisecond)
+		c.Check(w.NextRead(), qt.Equals, 15*time.Millisecond)
+		s.set(func() { s.down = true })
+		for range 50 {
+			time.Sleep(50 * time.Millisecond)
+			c.Check(w.NextRead() >= 0 && w.NextRead() <= 600*time.Millisecond, qt.IsTrue, qt.Commentf("%s", w.NextRead())) // 1.5 of the longest backoff
+		}
+	})
+}
+
 // A read that ends at a smaller offset than an earlier one doesn't renew the
 // lease.
 func TestStaleReadDoesNotRenewLease(t *testing.T) {
