--- a/core/forward/serve.go
+++ b/core/forward/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"sequoialead"
 )
@@ -32,7 +33,7 @@
 	result := f.send(limited, j, sink)
 	f.releaseInputs(j)
 	f.addInFlight(-1)
-	if j.predicted > 0 && j.firstByte == 0 && result.Status == http.StatusServiceUnavailable && ctx.Err() == nil {
+	if j.predicted > 0 && result.tooSlow() && ctx.Err() == nil {
 		f.recordUnfinished(j)
 	}
 	if ctx.Err() != nil {
@@ -44,11 +45,16 @@
 	f.metrics.firstByte(j.route.Kind, j.firstByte)
 	tr.Add("end", "outcome", result.outcome(late), "status", result.Status, "reason", result.Reason, "ran", j.mayHaveRun, "sends", j.attempts,
 		"first", j.firstByte, "aim", j.route.Objective, "left", j.deadline.Sub(f.opts.Now()),
-		"retry", result.RetryAfter)
+		"retry", result.RetryAfter, "predicted", time.Duration(j.factor*float64(j.predicted)))
 	tr.Finish(result.Status != 0 || result.Truncated || result.Disconnected || late)
 	return result
 }
 
+// tooSlow reports whether a request that was not run has waited in vain.
+func (r Result) tooSlow() bool {
+	return r.Status == http.StatusServiceUnavailable && (r.Reason == sequoialead.ReasonLate || r.Reason == sequoialead.ReasonTimeout || r.Reason == sequoialead.ReasonFull)
+}
+
 // outcome returns the name of the result for log and metrics.
 func (r Result) outcome(late bool) string {
 	switch {
