room, lateness: Learn the usable room, and withdraw orders of no use any more

All of it acts with the setting balance only.

Change: core/room reduces the used room of a server to what was in use at a refusal, and lets it grow back. Inputs are freed early only after half of the call's estimated time, alone at the server, and never within 10 s of a failed call. core/lateness withdraws orders that can't be made while they are of use, for which an order's end now allows for half of the predicted time after its stage; late orders that are still of use get a twentieth of the pieces, the first to become useless first.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -60,6 +60,10 @@
 	// Metrics receives histograms of calls and queueing times.
 	Metrics *metrics.Set
 	Now     func() time.Time
+	// Balance is set if the usable room of backend servers is learnt from their refusals,
+	// inputs are freed early only where it is certain that they were read, and late orders
+	// are withdrawn or get a share of the calls.
+	Balance bool
 }
 
 // Order is a set of pieces that one request wants from one pool.
@@ -161,7 +165,7 @@
 
 // New returns a batcher. Call Start to let it free results.
 func New(opts Options) *Batcher {
-	return &Batcher{opts: opts, stats: callMetrics{set: opts.Metrics}, queues: map[string]*queue{}, rooms: newRoomTracker(), random: rand.Float64, freeSignal: make(chan struct{}, 1)}
+	return &Batcher{opts: opts, stats: callMetrics{set: opts.Metrics}, queues: map[string]*queue{}, rooms: newRoomTracker(opts.Balance), random: rand.Float64, freeSignal: make(chan struct{}, 1)}
 }
 
 // Start begins to free discarded results in the background.
@@ -230,7 +234,7 @@
 	defer b.mu.Unlock()
 	l := b.queue(name).backlog(b.opts.Now(), pieces, led)
 	if pieces.RoomBytes > 0 {
-		l.RoomUsed = float64(b.rooms.heldByPool(name)) / float64(pieces.RoomBytes*led)
+		l.RoomUsed = b.rooms.usedByPool(name, pieces.RoomBytes, led, b.opts.Now())
 	}
 	return l
 }
@@ -267,6 +271,12 @@
 			continue
 		}
 		q.sort(now, conf.Pieces, max(led, 1))
+		if b.opts.Balance {
+			if n := q.sortLate(now, conf.Pieces, max(led, 1)); n > 0 {
+				b.stats.countWithdrawn(q.name, n)
+				continue
+			}
+		}
 		q.takeRetries(func() bool { return b.opts.Pools.TakeRetry(q.name) })
 		place, room := b.findPlace(q, conf, now)
 		if place == nil {
@@ -284,6 +294,7 @@
 		}
 		q.times.Advance(q.state(now, max(led, 1)))
 		q.inFlight++
+		q.recordTurns(c.batch, conf.Pieces.MaxBatch)
 		if len(q.orders) > 0 {
 			q.times.RecordLoaded(conf.Pieces, len(c.batch), q.state(now, max(led, 1)))
 		}
--- a/core/batch/metrics.go
+++ b/core/batch/metrics.go
@@ -24,6 +24,16 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_calls_refused_total{pool=%q}`, pool)).Inc()
 }
 
+// countWithoutRoom counts pieces that a backend server had no room for.
+func (c callMetrics) countWithoutRoom(pool string, pieces int) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_pieces_without_room_total{pool=%q}`, pool)).Add(pieces)
+}
+
+// countWithdrawn counts orders that were withdrawn because they could not be made in time.
+func (c callMetrics) countWithdrawn(pool string, orders int) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_orders_withdrawn_total{pool=%q}`, pool)).Add(orders)
+}
+
 // observeWaits records how long each order in a batch was queued.
 func (c callMetrics) observeWaits(pool string, batch []*pendingPiece, now time.Time) {
 	var last *pendingOrder
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -9,6 +9,7 @@
 	"sequoialead"
 	"sequoialead/core/calltime"
 	"sequoialead/core/contention"
+	"sequoialead/core/lateness"
 	"sequoialead/core/protocol"
 	"sequoialead/core/proxyconfig"
 )
@@ -45,6 +46,11 @@
 	// late is set if the order would miss its due time behind those before it in
 	// the queue.
 	late bool
+	// hopelessSince is the time since which the order can't be made while it is of use;
+	// zero if it can.
+	hopelessSince time.Time
+	// turn is set if the order is late and goes before those that are not.
+	turn bool
 	// largest is the size of the largest result among the order's pieces, and oversize is
 	// set if that is more than the room of a backend server.
 	largest  int
@@ -123,6 +129,10 @@
 	// contention tells where other entries may have calls.
 	contention  contention.Tracker
 	refusedSize refusedSize
+	// turns counts what late orders may have before others. failedAt is when a call or a
+	// piece last failed. Both are used with Options.Balance only.
+	turns    lateness.Turns
+	failedAt time.Time
 }
 
 // checkSizes marks the orders with pieces larger than the configured room. It fails those
@@ -228,7 +238,7 @@
 		return cmp.Or(cmp.Compare(a.priorityClass(), b.priorityClass()), cmp.Compare(a.order.Urgency, b.order.Urgency), a.order.DueAt.Compare(b.order.DueAt))
 	}
 	for _, o := range q.orders {
-		o.late = false
+		o.late, o.turn = false, false
 	}
 	slices.SortStableFunc(q.orders, compare)
 	state := q.state(now, servers)
@@ -248,6 +258,60 @@
 	}
 }
 
+// sortLate withdraws the late orders that can't be made while they are of use, and puts the
+// first of the others before those that are not late if it is its turn. It returns
+// the number of those withdrawn, which stay in the queue until it is pruned.
+func (q *queue) sortLate(now time.Time, conf *proxyconfig.PieceLimits, servers int) (withdrawn int) {
+	state := q.state(now, servers)
+	load := lateness.Load{Now: now, CallTime: q.times.CallTime(conf, state), PerCallTime: q.times.PiecesPerCallTime(conf, state)}
+	for _, o := range q.orders {
+		if !o.late && !o.oversize {
+			load.InTime += len(o.pending)
+		}
+	}
+	var late []*pendingOrder
+	for _, o := range q.orders {
+		if o.late && !o.started && !o.oversize {
+			late = append(late, o)
+		}
+	}
+	// The one that is of no use first goes first, whatever its urgency, since the others can
+	// wait until there is less demand.
+	slices.SortStableFunc(late, func(a, b *pendingOrder) int { return a.order.ExpiresAt.Compare(b.order.ExpiresAt) })
+	lateAhead, moved := 0, false
+	for _, o := range late {
+		if !lateness.Hopeless(load, o.order.ExpiresAt, lateAhead) {
+			o.hopelessSince = time.Time{}
+		} else if o.hopelessSince.IsZero() {
+			o.hopelessSince = now
+		}
+		if lateness.Withdraw(load, o.order.ExpiresAt, o.hopelessSince) {
+			o.fail(sequoialead.ReasonLate)
+			withdrawn++
+			continue
+		}
+		if lateAhead == 0 && q.turns.Due(len(o.pending), conf.MaxBatch) {
+			o.turn, moved = true, true
+		}
+		lateAhead += len(o.pending)
+	}
+	if moved {
+		slices.SortStableFunc(q.orders, func(a, b *pendingOrder) int { return cmp.Compare(a.priorityClass(), b.priorityClass()) })
+	}
+	return withdrawn
+}
+
+// recordTurns records which pieces of a call are late.
+func (q *queue) recordTurns(batch []*pendingPiece, full int) {
+	late := 0
+	for _, p := range batch {
+		if p.parent.late {
+			late++
+		}
+	}
+	q.turns.Record(late, len(batch)-late, full)
+}
+
 // localWaitDeadline returns the time until which the order may wait for a backend
 // server of its failure domain, given the duration of a call.
 func (o *pendingOrder) localWaitDeadline(callTime time.Duration) time.Time {
@@ -264,10 +328,12 @@
 	switch {
 	case o.started:
 		return 0
+	case o.turn:
+		return 1
 	case o.late, o.oversize:
-		return 2
+		return 3
 	}
-	return 1
+	return 2
 }
 
 // takeBatch removes the pieces of one call from the queue. It takes whole orders
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -153,7 +153,7 @@
 	f := &Forwarder{opts: opts, metrics: recorder{set: opts.Metrics}, trails: requestlog.NewRecorder(opts.Log, opts.Now), pools: map[string]*pool.Pool{}, entries: 1}
 	f.unsentCtx, f.cancelUnsent = context.WithCancel(context.Background())
 	f.sentCtx, f.cancelSent = context.WithCancel(context.Background())
-	f.batcher = batch.New(batch.Options{Maker: opts.Maker, Pools: poolAccess{f}, Log: opts.Log, Metrics: opts.Metrics, Now: opts.Now})
+	f.batcher = batch.New(batch.Options{Maker: opts.Maker, Pools: poolAccess{f}, Log: opts.Log, Metrics: opts.Metrics, Now: opts.Now, Balance: opts.Balance})
 	f.delegate = delegate.New(delegate.Options{
 		Entry: opts.Entry, Domain: opts.Domain, Batcher: f.batcher, Siblings: opts.Siblings, Log: opts.Log, Now: opts.Now,
 		OnLeaderLost: f.Refresh, Balance: opts.Balance,
--- a/core/forward/stages.go
+++ b/core/forward/stages.go
@@ -89,6 +89,7 @@
 		},
 	}
 	if f.opts.Balance {
+		order.ExpiresAt = order.ExpiresAt.Add(-time.Duration(certainTimeAfter * float64(f.timeAfter(j, s.pieceCounts, i))))
 		f.addDestination(&order, j, i, s.pieceCounts)
 	}
 	results, reason := f.delegate.Make(ctx, order)
@@ -234,6 +235,10 @@
 // less to its caller than the places are to other requests.
 const abandonFactor = 2.5
 
+// certainTimeAfter is the part of the predicted time after a stage that is certainly needed.
+// Predictions err by up to half of it.
+const certainTimeAfter = 0.5
+
 // stagesDeadline returns when the stages of a request are abandoned.
 func (j *job) stagesDeadline() time.Time {
 	until := j.request.ArrivedAt.Add(time.Duration(abandonFactor * float64(j.route.Objective)))
