--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -419,14 +419,15 @@
 		return latency * factor * (1 + 0.05*p.opts.Random.Float64())
 	}
 	uncached := float64(max(request.Prompt.Input-m.cache.Cached(request.Prompt), 0))
+	if home != 0 && home == m.hash {
+		// Other entries send the same parts here, so they are probably cached.
+		uncached -= min(uncached, float64(max(sharedTokens(request.Prompt)-m.cache.Cached(request.Prompt), 0)))
+	}
 	utilization := min(2*float64(running)/float64(p.conf.Slots), 1)
-	cost := m.speed(now) * (uncached + float64(m.pendingTokens) + tokensPerRunning*utilization*float64(running) + tokensPerRunning*float64(waiting))
+	cost := m.slowness(now) * (uncached + float64(m.pendingTokens) + tokensPerRunning*utilization*float64(running) + tokensPerRunning*float64(waiting))
 	cost += failurePenalty * tokensPerRunning * 10 * m.failureRate
 	if home != 0 && home != m.hash {
 		cost += duplicateShare * float64(sharedTokens(request.Prompt))
-	} else if home != 0 {
-		// Other entries send the same parts here, so they are probably cached.
-		cost -= min(uncached, float64(max(sharedTokens(request.Prompt)-m.cache.Cached(request.Prompt), 0)))
 	}
 	if m.Server.Domain != domain {
 		cost += crossDomainTokens
