enginememory: Keep requests within the memory of model engines

Cause: engines that share their machines crash when the requests that they run exceed their memory, and their requests go to the others, which crash next. Nothing counts tokens per engine. Nothing shows what an entry holds of a single server either.

Change: with the setting outlier, core/pool counts the tokens of its own requests at each engine (shared parts once) and never exceeds the memory with these. Where servers report a pace, it also estimates the others' requests from the load header and their sizes, and does not send a request that would lose more by a crash, on average, than a refusal loses. A request larger than the memory is refused at once (reason size). The 32 servers that differ most from the usual have metrics of their own.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -97,6 +97,7 @@
 		metricsMux.HandleFunc(pat.Get("/metrics"), func(w http.ResponseWriter, _ *http.Request) {
 			updateGatewayMetrics(set, watcher, forwarder, client)
 			set.WritePrometheus(w)
+			serverMetrics(forwarder).WritePrometheus(w)
 		})
 		group.Add(nameMetrics, web.New(web.Options{Addr: s.metrics, Handler: metricsMux}))
 	}
--- a/commands/metrics.go
+++ b/commands/metrics.go
@@ -99,3 +99,31 @@
 		}
 	}
 }
+
+// maxServerMetrics bounds the backend servers that have metrics of their own.
+const maxServerMetrics = 32
+
+// serverMetrics returns the metrics of the least usual backend servers. The set is new each
+// time, so that it holds no servers that were unusual once.
+func serverMetrics(forwarder *forward.Forwarder) *metrics.Set {
+	set := metrics.NewSet()
+	for _, s := range forwarder.UnusualServers(maxServerMetrics) {
+		label := fmt.Sprintf("{pool=%q,server=%q}", s.Server.Pool, s.Server.ID)
+		ejected := 0
+		if s.Ejected {
+			ejected = 1
+		}
+		for name, value := range map[string]float64{
+			"sequoialead_server_ejected":       float64(ejected),
+			"sequoialead_server_pace":          s.Pace,
+			"sequoialead_server_own_pace":      s.Own,
+			"sequoialead_server_failures":      s.Failures,
+			"sequoialead_server_open":          float64(s.InFlight),
+			"sequoialead_server_memory_tokens": float64(s.MemoryTokens),
+			"sequoialead_server_others_open":   float64(s.Others),
+		} {
+			set.GetOrCreateFloatCounter(name + label).Set(value)
+		}
+	}
+	return set
+}
--- a/core/forward/metrics.go
+++ b/core/forward/metrics.go
@@ -1,13 +1,16 @@
 package forward
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"sequoialead"
 	"sequoialead/core/availability"
+	"sequoialead/core/pool"
 	"sequoialead/core/proxyconfig"
 )
 
@@ -32,8 +35,8 @@
 }
 
 // attemptEnded counts one attempt by its end and by whether it was a retry.
-func (c recorder) attemptEnded(pool, end string, retry bool) {
-	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_sends_total{pool=%q,end=%q,again="%t"}`, pool, end, retry)).Inc()
+func (c recorder) attemptEnded(name, end string, retry bool) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_sends_total{pool=%q,end=%q,again="%t"}`, name, end, retry)).Inc()
 }
 
 // eventGap records the longest pause between two reads of a stream.
@@ -42,18 +45,18 @@
 }
 
 // placeWait counts a request that had to wait for a place.
-func (c recorder) placeWait(pool string, reason sequoialead.Reason) {
-	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_place_waits_total{pool=%q,reason=%q}`, pool, reason)).Inc()
+func (c recorder) placeWait(name string, reason sequoialead.Reason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_place_waits_total{pool=%q,reason=%q}`, name, reason)).Inc()
 }
 
 // stageTime records the duration of a stage.
-func (c recorder) stageTime(pool string, took time.Duration) {
-	c.set.GetOrCreateHistogram(fmt.Sprintf(`sequoialead_stage_seconds{pool=%q}`, pool)).Update(took.Seconds())
+func (c recorder) stageTime(name string, took time.Duration) {
+	c.set.GetOrCreateHistogram(fmt.Sprintf(`sequoialead_stage_seconds{pool=%q}`, name)).Update(took.Seconds())
 }
 
 // ejected counts an ejection of a backend server, or a failed probe of one.
-func (c recorder) ejected(pool string, probe bool) {
-	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_ejections_total{pool=%q,probe="%t"}`, pool, probe)).Inc()
+func (c recorder) ejected(name string, probe bool) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_ejections_total{pool=%q,probe="%t"}`, name, probe)).Inc()
 }
 
 // PoolStats describes the load of one pool as seen by this entry.
@@ -71,6 +74,29 @@
 	Retries float64
 }
 
+// UnusualServers returns the backend servers that are ejected, slow, fast or failing, the least
+// usual ones first, and at most the given number of them.
+func (f *Forwarder) UnusualServers(limit int) []pool.ServerStats {
+	now := f.opts.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var unusual []pool.ServerStats
+	for _, p := range f.pools {
+		for _, s := range p.Servers(now) {
+			if s.Deviation() > minDeviation {
+				unusual = append(unusual, s)
+			}
+		}
+	}
+	slices.SortFunc(unusual, func(a, b pool.ServerStats) int {
+		return cmp.Or(cmp.Compare(b.Deviation(), a.Deviation()), cmp.Compare(a.Server.ID, b.Server.ID))
+	})
+	return unusual[:min(limit, len(unusual))]
+}
+
+// minDeviation leaves out servers that are within a twentieth of the usual.
+const minDeviation = 0.05
+
 // Pools returns the statistics of each pool by name.
 func (f *Forwarder) Pools() map[string]PoolStats {
 	now := f.opts.Now()
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -61,6 +61,9 @@
 		if held := f.refuseQuarantined(j); held != nil {
 			return *held
 		}
+		if f.oversized(j) {
+			return j.refusal(sequoialead.ReasonSize)
+		}
 		if j.inputs == nil {
 			reason := f.runStages(unsentCtx, j)
 			if reason == sequoialead.ReasonGone && unsentCtx.Err() == nil && f.refuseLate(j) == nil {
@@ -114,6 +117,13 @@
 	}
 }
 
+// oversized reports whether a request is larger than the memory of any backend server.
+func (f *Forwarder) oversized(j *job) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pool(j.pool).Oversized(j.request.Prompt)
+}
+
 // attempt sends a request to one backend server and handles the result.
 func (f *Forwarder) attempt(ctx context.Context, j *job, place *pool.Place, sink Sink) (action, sequoialead.Reason) {
 	left := j.deadline.Sub(f.opts.Now())
--- a/core/outlier/outlier.go
+++ b/core/outlier/outlier.go
@@ -177,6 +177,12 @@
 	return n
 }
 
+// IsEjected reports whether a server gets no requests except for probes.
+func (d *Detector) IsEjected(server sequoialead.Server, now time.Time) bool {
+	r := d.records[processOf(server)]
+	return r != nil && r.isEjected(now)
+}
+
 // readmitFirst readmits the listed server whose pause ends first.
 func (d *Detector) readmitFirst(now time.Time) {
 	var first process
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -66,7 +66,8 @@
 	m.pendingTokens -= place.tokens
 	took := now.Sub(place.start).Seconds()
 	if place.Reported != nil {
-		m.recordPace(place.Reported.Pace, now)
+		p.recordPace(m, place.Reported.Pace, now)
+		m.memory.RecordLoad(place.Reported.Running+place.Reported.Queued, now)
 	}
 	took /= place.paceDuring(now)
 	p.recordOwnPace(place, took, now)
@@ -88,6 +89,9 @@
 	place.released = true
 	m := place.member
 	m.inFlight--
+	if place.inMemory {
+		m.memory.Remove(place.prompt)
+	}
 	if !place.firstByteRecorded {
 		m.pendingTokens -= place.tokens
 	}
@@ -177,9 +181,11 @@
 func (p *Pool) recordLoad(place *Place, load sequoialead.ServerLoad, now time.Time) {
 	m := place.member
 	m.load, m.loadAt, m.sentSince = load, now, 0
-	if place.Reported == nil || !place.firstByteRecorded {
-		m.recordPace(load.Pace, now) // else it is the figure of the answer's head, which may be long ago
+	if place.Reported != nil && place.firstByteRecorded {
+		return // the load came with the answer's head, which may be long ago
 	}
+	p.recordPace(m, load.Pace, now)
+	m.memory.RecordLoad(load.Running+load.Queued, now)
 }
 
 // home returns the hash of the backend server that a prompt's shared parts are
--- a/core/pool/outlier_test.go
+++ b/core/pool/outlier_test.go
@@ -108,7 +108,12 @@
 		f.send(f.entries[f.random.IntN(len(f.entries))], f.random.IntN(fleetCallers), f.now, map[string]bool{})
 		f.after(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), arrive)
 	}
-	arrive()
+	f.drain(arrive, length)
+}
+
+// drain runs all events from the first one on, and updates the entries' pools for a time.
+func (f *fleet) drain(first func(), length time.Duration) {
+	first()
 	var refresh func()
 	refresh = func() {
 		if f.now > length {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -12,6 +12,7 @@
 
 	"sequoialead"
 	"sequoialead/core/availability"
+	"sequoialead/core/enginememory"
 	"sequoialead/core/outlier"
 	"sequoialead/core/pace"
 	"sequoialead/core/prefixcache"
@@ -83,7 +84,10 @@
 	Reported *sequoialead.ServerLoad
 	// pace is the factor of the server's machine when the place was acquired; zero if it was
 	// not known.
-	pace              float64
+	pace float64
+	// prompt is set if the request counts in the memory of a model engine, as inMemory tells.
+	prompt            sequoialead.Prompt
+	inMemory          bool
 	member            *member
 	tokens            int
 	start             time.Time
@@ -111,6 +115,8 @@
 	// pace is that of the server's machine as it reports it, and own that of the server itself,
 	// in relation to the pool.
 	pace, own *pace.Tracker
+	// memory is that of a model engine.
+	memory *enginememory.Engine
 	// load is the load that the backend server last reported, and loadAt when.
 	load   sequoialead.ServerLoad
 	loadAt time.Time
@@ -136,6 +142,13 @@
 	// led holds the IDs of the backend servers that this entry leads.
 	led    map[string]bool
 	budget *retries.Budget
+	// sharesMachines is set once a server has reported a pace: only those that share their
+	// machines do.
+	sharesMachines bool
+	// meanNeed is the mean number of tokens that a request takes in an engine's memory, and
+	// needVariance its variance, over the number needs.
+	meanNeed, needVariance float64
+	needs                  int
 	// firstByte predicts the time to the first byte of an answer.
 	firstByte regression
 }
@@ -249,6 +262,7 @@
 		if m == nil || !m.Server.StartedAt.Equal(e.Server.StartedAt) || m.Server.Addr != e.Server.Addr {
 			replacement := &member{
 				state: p.register.Get(e.Server, now), cache: prefixcache.New(p.conf.MemoryTokens), hash: xxhash.Sum64String(e.Server.ID),
+				memory: enginememory.New(),
 			}
 			replacement.pace, replacement.own = newPaceTrackers()
 			replacement.state.MarkCold(now.Add(availability.ColdPeriod))
@@ -279,6 +293,7 @@
 		place.tokens = max(request.Prompt.Input-best.cache.Cached(request.Prompt), 0)
 		best.pendingTokens += place.tokens
 		best.cache.Record(request.Prompt)
+		p.addMemory(place, request.Prompt)
 	}
 	place.probe = p.opts.Limits.Outlier && p.outliers.Sent(best.Server, now)
 	best.inFlight++
@@ -305,7 +320,10 @@
 	reason = sequoialead.ReasonNone
 	bestCost := 0.0
 	domain := cmp.Or(request.Domain, p.opts.Domain)
-	limits := p.limits(now)
+	limits, limitsMemory, meanOthers := p.limits(now), p.limitsMemory(), 0.0
+	if limitsMemory {
+		meanOthers = p.meanOthers(now)
+	}
 	for _, m := range p.members {
 		if request.Exclude[m.Server.ID] {
 			continue
@@ -333,7 +351,7 @@
 			continue
 		case availability.CauseNone:
 		}
-		if m.inFlight >= p.maxInFlight(m, now) {
+		if m.inFlight >= p.maxInFlight(m, now) || limitsMemory && !p.fitsMemory(m, request.Prompt, meanOthers, now) {
 			reason = sequoialead.ReasonFull
 			continue
 		}
--- a/core/pool/speed.go
+++ b/core/pool/speed.go
@@ -58,8 +58,9 @@
 }
 
 // recordPace records the pace that a server reports; nothing if it is unknown.
-func (m *member) recordPace(percent int, now time.Time) {
+func (p *Pool) recordPace(m *member, percent int, now time.Time) {
 	if percent > 0 {
+		p.sharesMachines = true
 		m.pace.Record(float64(percent)/100, now)
 	}
 }
