--- a/core/enginememory/enginememory.go
+++ b/core/enginememory/enginememory.go
@@ -139,9 +139,6 @@
 // the probability that it makes the engine crash, times what a crash loses.
 func (e *Engine) Fits(prompt sequoialead.Prompt, memory int, mean, variance, usual float64, now time.Time) bool {
 	own, need := e.Used(), e.Need(prompt)
-	if own+need > memory {
-		return false
-	}
 	others, renewed := usual, 1.0
 	if n, known := e.Others(now); known {
 		others, renewed = float64(n), -math.Expm1(-float64(now.Sub(e.reportedAt))/float64(runTime))
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -277,7 +277,9 @@
 		p.members = append(p.members, m)
 	}
 	p.register.Prune(now)
-	p.outliers.Update(p.candidates(), now)
+	if p.opts.Limits.Outlier {
+		p.outliers.Update(p.candidates(), now)
+	}
 	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
 }
 
