pool: Give less to slow engines only, not to noisy ones

Cause: the factor of a model engine's own times follows the differences between single requests.

Change: an engine counts as usual up to twice the pool's time.

--- a/core/pool/speed.go
+++ b/core/pool/speed.go
@@ -20,6 +20,10 @@
 	// the pool. A slow engine gets less and is so observed less, so its state is kept for longer.
 	ownSmoothing = 2 * time.Second
 	ownMemory    = 15 * time.Second
+	// ownTolerance is the factor up to which an engine counts as usual. Times to the first byte
+	// differ by half from one request to the next; without tolerance, four times as many prompts
+	// leave the engines that hold their shared parts. Slow engines take 5 to 8 times as long.
+	ownTolerance = 2.0
 	// penaltyHalfLife is the time in which the penalty for failures halves, so that a server that
 	// has recovered is not avoided until all others are full.
 	penaltyHalfLife = 10 * time.Second
@@ -32,7 +36,9 @@
 
 // speed returns the factor on the usual time of work at a backend server now: that of its
 // machine, and for model engines also its own.
-func (m *member) speed(now time.Time) float64 { return m.pace.At(now) * m.own.At(now) }
+func (m *member) speed(now time.Time) float64 {
+	return m.pace.At(now) * max(m.own.At(now)/ownTolerance, 1)
+}
 
 // paceDuring returns the factor of the server's machine during a request whose answer begins
 // now: the mean of that at its start, if it was known, and that at its end.
