pool: Place prompts by the predicted time to the first token

Cause: the choice of a model engine counted tokens, not time: engines differ in speed by a factor of two, other entries' requests were ignored, and a fixed share of the shared tokens stood for the cost of a second copy. The LRU of core/prefixcache counted the tokens of parts that it evicted by itself for ever.

Active with placement = true. Predicted and actual times are in metrics and in the request log.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -146,6 +146,7 @@
 		Domain:      s.domain,
 		Limits:      s.limits(),
 		DrainNotice: balancerDelay,
+		Placement:   s.placement,
 	})
 	return watcher, siblings, forwarder
 }
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -43,7 +43,9 @@
 	over    float64
 	slack   float64
 	hold    time.Duration
-	level   int
+	// placement selects model engines by the predicted time to the first token.
+	placement bool
+	level     int
 }
 
 // Defaults of a gateway's settings. They are to be overridden with the values of the
@@ -86,6 +88,7 @@
 	flags.Float64Var(&s.over, "over", defaultColdOver, "the factor on the configured request rate of a cold backend server, such as 1.5")
 	flags.Float64Var(&s.slack, "slack", 0, "the requests per second that a cold backend server may get in addition, such as 5")
 	flags.DurationVar(&s.hold, "hold", defaultGatewayHold, "the longest time for which a backend server that wants no requests for a while gets none, such as 5m")
+	flags.BoolVar(&s.placement, "placement", false, "choose model engines by the predicted time to the first token")
 	flags.IntVar(&s.level, "level", 0, "the verbosity of the log, from 0")
 }
 
--- a/core/availability/availability.go
+++ b/core/availability/availability.go
@@ -13,6 +13,7 @@
 package availability
 
 import (
+	"cmp"
 	"time"
 
 	"sequoialead"
@@ -82,6 +83,9 @@
 	Current bool
 	// IgnoreUnreachable is set if no server can be reached, so that all are tried.
 	IgnoreUnreachable bool
+	// Burst is the number of requests that this entry may send at once to a server known to
+	// be warm; 0 for the default.
+	Burst int
 }
 
 // Check returns why nothing may be sent now; CauseNone if it may.
@@ -109,7 +113,7 @@
 func (s *Server) withinColdRate(now time.Time, limits Limits) bool {
 	burst := 1
 	if now.After(s.coldUntil) && limits.Current {
-		burst = warmBurst
+		burst = cmp.Or(limits.Burst, warmBurst)
 	}
 	return s.limiter.Allow(now, limits.ColdRate, burst)
 }
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -61,6 +61,8 @@
 	Entry  string
 	Domain string
 	Limits Limits
+	// Placement selects model engines by the predicted time to the first token.
+	Placement bool
 	// DrainNotice is how long a leaving entry continues to accept requests that may
 	// last longer than it runs.
 	DrainNotice time.Duration
@@ -292,6 +294,7 @@
 	if p == nil {
 		p = pool.New(pool.Options{
 			Name: name, Domain: f.opts.Domain, Random: f.opts.Random, Limits: f.opts.Limits.Limits,
+			Entry: f.opts.Entry, Placement: f.opts.Placement,
 		})
 		f.pools[name] = p
 	}
--- a/core/forward/metrics.go
+++ b/core/forward/metrics.go
@@ -31,6 +31,22 @@
 	}
 }
 
+// firstToken records the predicted and the actual time from sending a request to a model engine
+// to the first byte of its answer.
+func (c recorder) firstToken(pool string, predicted, took time.Duration) {
+	quantiles := []float64{0.5, 0.9}
+	c.set.GetOrCreateSummaryExt(fmt.Sprintf(`sequoialead_first_token_predicted_seconds{pool=%q}`, pool), firstTokenWindow, quantiles).Update(predicted.Seconds())
+	c.set.GetOrCreateSummaryExt(fmt.Sprintf(`sequoialead_first_token_seconds{pool=%q}`, pool), firstTokenWindow, quantiles).Update(took.Seconds())
+	c.set.GetOrCreateSummaryExt(fmt.Sprintf(`sequoialead_first_token_ratio{pool=%q}`, pool), firstTokenWindow, quantiles).Update(took.Seconds() / max(predicted.Seconds(), minPrediction))
+}
+
+const (
+	// firstTokenWindow is the time that the quantiles of times to the first token cover.
+	firstTokenWindow = time.Minute
+	// minPrediction bounds the ratio of actual and predicted times, in seconds.
+	minPrediction = 0.001
+)
+
 // attemptEnded counts one attempt by its end and by whether it was a retry.
 func (c recorder) attemptEnded(pool, end string, retry bool) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`sequoialead_sends_total{pool=%q,end=%q,again="%t"}`, pool, end, retry)).Inc()
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -48,6 +48,7 @@
 		now := f.opts.Now()
 		f.mu.Lock()
 		p := f.pool(j.pool)
+		request.Left = j.objectiveLeft(now)
 		reason := sequoialead.ReasonFull
 		if w != nil || !f.othersFirst(j) {
 			var place *pool.Place
@@ -292,3 +293,12 @@
 // TakeRetry takes one retry from a pool's budget. It reports false if the budget is
 // used up.
 func (s poolAccess) TakeRetry(name string) bool { return s.f.takeRetry(name) }
+
+// objectiveLeft returns the time within which the first event of the answer is on time; zero
+// if the route has no objective. It is at least a millisecond.
+func (j *job) objectiveLeft(now time.Time) time.Duration {
+	if j.route.Objective <= 0 {
+		return 0
+	}
+	return max(j.route.Objective-now.Sub(j.request.ArrivedAt), time.Millisecond)
+}
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -124,7 +124,7 @@
 	defer cancel()
 	j.attempts++
 	j.trail.Add("send", "try", j.attempts, "server", place.Server.ID, "domain", place.Server.Domain, "left", left, "after", j.lastEventID,
-		"inputs", len(j.inputs), "pending", place.PendingTokens, "home", place.AtHome)
+		"inputs", len(j.inputs), "pending", place.PendingTokens, "home", place.AtHome, "predicted", place.Predicted)
 	j.tried[place.Server.ID] = true
 	response, err := f.opts.Exchanger.Exchange(ctx, sequoialead.ProxyAttempt{
 		Request: j.request, Server: place.Server, TimeLeft: left, Customer: j.customerName(), Urgency: j.urgency,
@@ -280,7 +280,12 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	known := place.Took > 0
 	f.pool(j.pool).RecordFirstByte(place, now)
+	if !known && place.Took > 0 {
+		f.metrics.firstToken(j.pool, place.Predicted, place.Took)
+		j.trail.Add("first-token", "server", place.Server.ID, "predicted", place.Predicted, "took", place.Took)
+	}
 }
 
 // sendHead sends the head of a stream to the caller unless it was already sent.
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -60,6 +60,11 @@
 	m := place.member
 	m.pendingTokens -= place.tokens
 	took := now.Sub(place.start).Seconds()
+	if p.engines != nil && place.size > 0 {
+		place.Took = now.Sub(place.start)
+		p.recordEngineRead(place)
+		p.recordEngineTime(place, now)
+	}
 	p.firstByte.add(float64(place.tokens+place.PendingTokens), took)
 	if m.latency == 0 {
 		m.latency = took
@@ -80,6 +85,12 @@
 	if !place.firstByteRecorded {
 		m.pendingTokens -= place.tokens
 	}
+	if p.engines != nil && place.size > 0 {
+		if !place.firstByteRecorded {
+			p.recordEngineRead(place)
+		}
+		p.recordEngineEnd(place, end, now)
+	}
 	if load != nil {
 		p.recordLoad(place, *load, now)
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -25,6 +25,10 @@
 	Domain string
 	Random *rand.Rand
 	Limits Limits
+	// Entry is the name of this entry.
+	Entry string
+	// Placement selects model engines by the predicted time to the first token.
+	Placement bool
 }
 
 // Limits holds the limits that apply to all entries together and may change while
@@ -48,6 +52,8 @@
 	Exclude map[string]bool
 	// Domain is the preferred failure domain; empty for that of the entry.
 	Domain string
+	// Left is the time within which the first event of the answer is on time; 0 if unknown.
+	Left time.Duration
 	// HasCapacity reports whether a backend server has capacity for the request; nil
 	// if no such check is needed. The argument led is set if this entry leads the
 	// server.
@@ -63,8 +69,17 @@
 	// PendingTokens is the number of prompt tokens of this entry's earlier requests
 	// that the server has yet to prefill. AtHome tells whether the request's shared
 	// parts are assigned to the server.
-	PendingTokens     int
-	AtHome            bool
+	PendingTokens int
+	AtHome        bool
+	// Predicted is the predicted time to the first token, and Took the actual one once it
+	// is known; zero without Options.Placement.
+	Predicted time.Duration
+	Took      time.Duration
+	// size is the number of tokens of the request and its answer. predictedRead is the time
+	// in seconds that a typical engine takes to read, and otherTime the rest of Predicted.
+	size              float64
+	predictedRead     float64
+	otherTime         float64
 	member            *member
 	tokens            int
 	start             time.Time
@@ -95,7 +110,8 @@
 	// sentSince counts the requests sent after that report.
 	sentSince int
 	// hash is the hash of the server's ID, for the rendezvous hashing of prompts.
-	hash uint64
+	hash   uint64
+	engine engineState
 }
 
 // Pool is this entry's state for one pool. It is not safe for concurrent use.
@@ -113,6 +129,8 @@
 	budget *retries.Budget
 	// firstByte predicts the time to the first byte of an answer.
 	firstByte regression
+	// engines is nil without Options.Placement.
+	engines *engines
 }
 
 // Weights and limits for choosing a backend server. Penalties are multiples of the
@@ -150,7 +168,11 @@
 
 // New returns a pool without backend servers.
 func New(opts Options) *Pool {
-	return &Pool{opts: opts, conf: &proxyconfig.Pool{Name: opts.Name}, register: availability.New(), entries: 1, budget: retries.New(opts.Limits.Retries)}
+	p := &Pool{opts: opts, conf: &proxyconfig.Pool{Name: opts.Name}, register: availability.New(), entries: 1, budget: retries.New(opts.Limits.Retries)}
+	if opts.Placement {
+		p.engines = newEngines(opts.Entry)
+	}
+	return p
 }
 
 // Configure applies new limits.
@@ -220,6 +242,9 @@
 			replacement := &member{
 				state: p.register.Get(e.Server, now), cache: prefixcache.New(p.conf.MemoryTokens), hash: xxhash.Sum64String(e.Server.ID),
 			}
+			if p.engines != nil {
+				replacement.engine = p.engines.newEngineState(now)
+			}
 			replacement.state.MarkCold(now.Add(availability.ColdPeriod))
 			m = replacement
 		}
@@ -228,19 +253,31 @@
 		m.state.MarkCold(e.ReadAt.Add(e.Server.ColdLeft))
 		p.members = append(p.members, m)
 	}
+	if p.engines != nil && len(p.members) > 0 {
+		p.engines.updated = true
+	}
 	p.register.Prune(now)
 	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
 }
 
 // Acquire returns a place for a request, or the reason why there is none now.
 func (p *Pool) Acquire(request Request, now time.Time) (*Place, sequoialead.Reason) {
-	home := p.home(request.Prompt)
+	home := uint64(0)
+	if p.placesByTime() {
+		p.prepare(request, cmp.Or(request.Domain, p.opts.Domain), now)
+	} else {
+		home = p.home(request.Prompt)
+	}
 	best, reason := p.choose(request, home, now)
 	if best == nil {
 		return nil, reason
 	}
 	place := &Place{Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, AtHome: best.hash == home, member: best, start: now}
-	if p.conf.Slots > 0 {
+	switch {
+	case p.placesByTime():
+		p.recordEngineSend(place)
+		best.pendingTokens += place.tokens
+	case p.conf.Slots > 0:
 		place.tokens = max(request.Prompt.Input-best.cache.Cached(request.Prompt), 0)
 		best.pendingTokens += place.tokens
 		best.cache.Record(request.Prompt)
@@ -263,6 +300,9 @@
 		if request.Exclude[m.Server.ID] || request.HasCapacity != nil && !request.HasCapacity(m.Server, p.led[m.Server.ID]) {
 			continue
 		}
+		if p.placesByTime() {
+			limits.Burst = p.burst(m)
+		}
 		switch m.state.Check(now, limits) {
 		case availability.CauseLeaving, availability.CauseUnreachable:
 			continue
@@ -280,7 +320,13 @@
 			reason = sequoialead.ReasonFull
 			continue
 		}
-		cost := p.cost(m, request, home, domain, now)
+		cost := 0.0
+		if p.placesByTime() {
+			c := p.candidate(m)
+			cost = p.engines.plan.model.Cost(&c)
+		} else {
+			cost = p.cost(m, request, home, domain, now)
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = m, cost
 		}
@@ -300,10 +346,16 @@
 // coldRate returns this entry's part of the request rate that a cold backend server bears;
 // 0 for no limit.
 func (p *Pool) coldRate() float64 {
+	return p.coldLimit() * coldLimitShare / float64(p.entries)
+}
+
+// coldLimit returns the requests per second that all entries together may send to a cold
+// backend server; 0 for no limit.
+func (p *Pool) coldLimit() float64 {
 	if p.conf.ColdRate <= 0 {
 		return 0
 	}
-	return (p.conf.ColdRate*p.opts.Limits.ColdFactor + p.opts.Limits.ColdSlack) * coldLimitShare / float64(p.entries)
+	return p.conf.ColdRate*p.opts.Limits.ColdFactor + p.opts.Limits.ColdSlack
 }
 
 // allUnreachable reports whether no backend server that may be sent to can be reached.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -16,9 +16,13 @@
 )
 
 func build(conf proxyconfig.Pool, servers, entries int) *pool.Pool {
+	return buildWith(false, conf, servers, entries)
+}
+
+func buildWith(placement bool, conf proxyconfig.Pool, servers, entries int) *pool.Pool {
 	conf.Name = "p"
 	p := pool.New(pool.Options{
-		Name: "p", Domain: "a", Random: rand.New(rand.NewPCG(1, 1)),
+		Name: "p", Domain: "a", Placement: placement, Random: rand.New(rand.NewPCG(1, 1)),
 		Limits: pool.Limits{Retries: retries.Options{Window: time.Second}, ColdFactor: 1.5, ColdSlack: 5},
 	})
 	p.Update(pool.View{Conf: &conf, Usable: list(servers), Entries: entries}, time.Unix(1000, 0))
@@ -209,8 +213,12 @@
 	c.Assert(len(used) > 1, qt.IsTrue)
 }
 
-func BenchmarkAcquire(b *testing.B) {
-	p := build(proxyconfig.Pool{Slots: 64, MemoryTokens: 400000, MaxConns: 1000}, 50, 1)
+func BenchmarkAcquire(b *testing.B) { benchmarkAcquire(b, false) }
+
+func BenchmarkAcquireWithPlacement(b *testing.B) { benchmarkAcquire(b, true) }
+
+func benchmarkAcquire(b *testing.B, placement bool) {
+	p := buildWith(placement, proxyconfig.Pool{Slots: 64, MemoryTokens: 400000, MaxConns: 1000}, 50, 1)
 	now := time.Unix(1000, 0)
 	request := pool.Request{Prompt: prompt(1, 2)}
 	b.ReportAllocs()
--- a/core/prefixcache/prefixcache.go
+++ b/core/prefixcache/prefixcache.go
@@ -30,11 +30,13 @@
 // New returns an empty cache for an engine whose memory holds the given number of
 // tokens.
 func New(memory int) *Cache {
-	parts, err := simplelru.NewLRU[uint64, int](maxParts, nil)
+	c := &Cache{capacity: int(cacheShare * float64(memory))}
+	parts, err := simplelru.NewLRU(maxParts, func(_ uint64, tokens int) { c.cachedTokens -= tokens })
 	if err != nil {
 		panic(err) // fails only for a size below one
 	}
-	return &Cache{parts: parts, capacity: int(cacheShare * float64(memory))}
+	c.parts = parts
+	return c
 }
 
 // Cached returns the number of the prompt's tokens that need no prefill. A cached part
@@ -61,11 +63,8 @@
 		c.cachedTokens += part.Tokens
 	}
 	for c.cachedTokens > c.capacity {
-		_, tokens, ok := c.parts.RemoveOldest()
-		if !ok {
-			c.cachedTokens = 0
+		if _, _, ok := c.parts.RemoveOldest(); !ok {
 			return
 		}
-		c.cachedTokens -= tokens
 	}
 }
