pool: Bound the cost of a choice and weigh lost copies

Change: the time for which parts count as kept is at most a minute; a copy elsewhere costs only as far as the home holds the parts or later requests go there; ranks of homes are kept with the engines. The simulation has groups of requests that come to one entry.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -24,6 +24,9 @@
 	// Uses is the expected number of further requests for the shared parts while an engine
 	// keeps them.
 	Uses float64
+	// Loss is the probability that a copy at another engine than the home means that the
+	// shared parts are read once more: the home holds them, or later requests go there.
+	Loss float64
 	// Left is the time within which the first token is on time; 0 if unknown.
 	Left float64
 }
@@ -104,5 +107,5 @@
 		late = min(max((first/m.Left-safeShare)/(lateShare-safeShare), 0), 1)
 	}
 	others := m.Utilization*c.Read - c.Kept*m.Uses/(1+m.Uses)
-	return first + lateTime*late + others*m.TokenTime*c.Pace + (copies+m.Reuse)*c.Copied*m.TokenTime + failureTime*c.Failures
+	return first + lateTime*late + others*m.TokenTime*c.Pace + (m.Loss*copies+m.Reuse)*c.Copied*m.TokenTime + failureTime*c.Failures
 }
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -134,8 +135,6 @@
 // mix hashes the XOR of two hashes, so that the result is evenly distributed.
 func mix(x uint64) uint64 {
 	var b [8]byte
-	for i := range b {
-		b[i] = byte(x >> (8 * i))
-	}
+	binary.LittleEndian.PutUint64(b[:], x)
 	return xxhash.Sum64(b[:])
 }
--- a/core/pool/engines.go
+++ b/core/pool/engines.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// knownAge is how long engines that are there when this entry starts are assumed to have
-	// run: longer than it takes until their memory is full.
-	knownAge = 10 * time.Minute
+	// assumedUptime is how long engines that are there when this entry starts are assumed to
+	// have held parts.
+	assumedUptime = 20 * time.Second
+	// maxTurnover bounds the time in which an engine's memory is read anew, since demand
+	// changes meanwhile.
+	maxTurnover = time.Minute
 	// minMemoryShare is the part of an engine's memory that is assumed to hold parts even if
 	// the running requests seem to need all.
 	minMemoryShare = 0.1
@@ -66,6 +69,8 @@
 	// number of those requests whose answers have not started.
 	running float64
 	unread  int
+	// rank is one more than the engine's place among plan.homes; 0 if it has none.
+	rank int
 }
 
 // engines is what placement knows of a pool of model engines, and of the request that is being
@@ -96,6 +101,8 @@
 	// updated is set once the engines were listed.
 	updated bool
 	plan    plan
+	// candidate is the result of Pool.candidate.
+	candidate placement.Candidate
 }
 
 // plan is what is the same for all engines, for the request that is being placed.
@@ -116,6 +123,10 @@
 	// home while an engine keeps a part, which is the turnover.
 	uses     float64
 	turnover time.Duration
+	// others and pending are the number of requests of other entries at an engine, and of
+	// their tokens to be read, if its load is not known.
+	others  float64
+	pending float64
 	// perEngine is the number of other entries for each engine.
 	perEngine float64
 	limit     float64
@@ -132,7 +143,7 @@
 func (e *engines) newEngineState(now time.Time) engineState {
 	since := now
 	if !e.updated {
-		since = now.Add(-knownAge)
+		since = now.Add(-assumedUptime)
 	}
 	return engineState{belief: prefixcache.NewBelief(), heldSince: since}
 }
@@ -148,15 +159,21 @@
 	base, perToken := e.speed.Times()
 	e.decayUsage(now)
 	rate := e.usage / usagePeriod.Seconds() * float64(p.entries) / servers
+	for _, m := range e.plan.homes {
+		m.engine.rank = 0
+	}
+	perEngine := float64(p.entries-1) / servers
 	e.plan = plan{
 		model:     placement.Model{TokenTime: perToken, BaseTime: base, Duration: e.duration, Utilization: min(rate*perToken, 1), Left: request.Left.Seconds()},
 		prompt:    request.Prompt,
 		domain:    domain,
 		now:       now,
 		homes:     e.plan.homes[:0],
-		perEngine: float64(p.entries-1) / servers,
+		perEngine: perEngine,
+		others:    perEngine * float64(e.inFlight),
+		pending:   perEngine * e.pending,
 		limit:     p.coldLimit(),
-		turnover:  knownAge,
+		turnover:  maxTurnover,
 	}
 	if len(request.Prompt.Parts) < 2 {
 		return
@@ -171,11 +188,12 @@
 	e.plan.preferred = int(e.entry % uint64(e.plan.assigned))
 	if rate > 0 {
 		capacity := p.partsCapacity(e.plan.perEngine * e.running)
-		e.plan.turnover = time.Duration(min(capacity/rate, knownAge.Seconds()) * float64(time.Second))
+		e.plan.turnover = time.Duration(min(capacity/rate, maxTurnover.Seconds()) * float64(time.Second))
 	}
 	e.plan.uses = e.demand.Uses(id, float64(p.entries-1)/float64(e.plan.assigned), e.plan.turnover, now)
 	e.plan.model.Uses = e.plan.uses
-	if e.plan.turnover < knownAge {
+	e.plan.model.Loss = 1 - (1-e.plan.homes[e.plan.preferred].engine.asked(&e.plan))*math.Exp(-e.plan.uses)
+	if e.plan.turnover < maxTurnover {
 		e.plan.model.Reuse = evictedReuse * asked(e.plan.uses)
 	}
 	e.demand.Record(id, max(float64(request.Prompt.Input)-e.plan.shared, 0)*perToken, now)
@@ -203,6 +221,9 @@
 		}
 		homes[i], scores[i] = m, score
 	}
+	for i, m := range homes {
+		m.engine.rank = i + 1
+	}
 	p.engines.plan.homes = homes
 }
 
@@ -220,25 +241,28 @@
 	}
 }
 
-// candidate describes an engine for the request that is being placed.
-func (p *Pool) candidate(m *member) placement.Candidate {
+// candidate describes an engine for the request that is being placed. The result is valid
+// until the next call.
+func (p *Pool) candidate(m *member) *placement.Candidate {
 	e, plan := p.engines, &p.engines.plan
-	others, othersPending := plan.perEngine*float64(e.inFlight), plan.perEngine*e.pending
+	others, othersPending := plan.others, plan.pending
 	if known := 1 - float64(plan.now.Sub(m.loadAt))/float64(loadMaxAge); known > 0 {
 		reported := float64(max(m.load.Running+m.load.Queued+m.sentSince-m.inFlight, 0))
 		waiting := float64(max(m.load.Queued-m.engine.unread, 0))
 		others += known * (reported - others)
 		othersPending += known * (waiting*e.unread - othersPending)
 	}
-	clock := m.engine.read + e.background
-	capacity := p.partsCapacity(m.engine.running + others*e.size)
-	rank := slices.Index(plan.homes, m)
-	asked := 0.0
-	if rank >= 0 && rank < plan.assigned {
-		asked = m.engine.asked(plan)
+	rank, held := m.engine.rank-1, 0.0
+	if rank >= 0 || !m.engine.belief.Empty() {
+		asked := 0.0
+		if rank >= 0 && rank < plan.assigned {
+			asked = m.engine.asked(plan)
+		}
+		capacity := p.partsCapacity(m.engine.running + others*e.size)
+		held = m.engine.belief.Held(plan.prompt, m.engine.read+e.background, capacity, asked)
 	}
-	held := m.engine.belief.Held(plan.prompt, clock, capacity, asked)
-	c := placement.Candidate{
+	c := &e.candidate
+	*c = placement.Candidate{
 		Pending:  float64(m.pendingTokens) + othersPending,
 		Read:     min(max(float64(plan.prompt.Input)-held, 0), float64(p.conf.MemoryTokens)),
 		InFlight: float64(m.inFlight) + others,
@@ -287,7 +311,7 @@
 	e, m := p.engines, place.member
 	c := p.candidate(m)
 	place.tokens = int(c.Read)
-	place.Predicted = time.Duration(e.plan.model.FirstToken(&c) * float64(time.Second))
+	place.Predicted = time.Duration(e.plan.model.FirstToken(c) * float64(time.Second))
 	place.PendingTokens = int(c.Pending)
 	place.AtHome = slices.Contains(e.plan.homes[:e.plan.assigned], m)
 	if e.plan.assigned > 0 {
--- a/core/pool/placement_test.go
+++ b/core/pool/placement_test.go
@@ -83,6 +83,9 @@
 	rate     float64
 	subjects int
 	skew     float64
+	// group is the number of requests for one subject that come to one entry within two
+	// seconds.
+	group int
 	// hotShare is the part of requests for one subject between hotFrom and hotUntil.
 	hotShare          float64
 	hotFrom, hotUntil time.Duration
@@ -101,7 +104,7 @@
 // ordinary is a day like those that were measured: 26 entries, 48 engines, 120 requests per
 // second, 320 subjects with 4,900 shared tokens.
 func ordinary() day {
-	return day{entries: 26, engines: 48, rate: 120, subjects: 320, skew: 0.8, shared: 4900, own: 6600, output: 120, memory: 543851, coldRate: 14, slow: 1, seconds: 40, seed: 1}
+	return day{entries: 26, engines: 48, rate: 120, subjects: 320, skew: 0.8, shared: 4900, own: 6600, output: 120, memory: 543851, coldRate: 14, slow: 1, group: 1, seconds: 40, seed: 1}
 }
 
 // result is what came of a day.
@@ -247,10 +250,8 @@
 	}
 	own := uint64(1 << 40)
 	end := time.Duration(d.seconds) * time.Second
-	var arrive func(at time.Duration)
-	arrive = func(at time.Duration) {
+	request := func(at time.Duration, s, entry int) {
 		push(at, func() {
-			s := subject(at)
 			own++
 			shared := uint64(s + 2)
 			size := int(float64(d.shared) * (0.5 + float64(shared%97)/97))
@@ -258,7 +259,6 @@
 			prompt := sequoialead.Prompt{Input: size + tokens, Output: d.output, Parts: []sequoialead.PromptPart{{ID: shared, Tokens: size}, {ID: own, Tokens: tokens}}}
 			r.requests++
 			sharedTotal += size
-			entry := random.IntN(d.entries)
 			// The stages before have taken most of the time of half of the requests.
 			objective := []time.Duration{300, 600, 2000, 4000}[random.IntN(4)] * time.Millisecond
 			var try func(now time.Duration)
@@ -273,7 +273,20 @@
 				push(now+20*time.Millisecond, func() { try(now + 20*time.Millisecond) })
 			}
 			try(at)
-			if next := at + time.Duration(random.ExpFloat64()/d.rate*float64(time.Second)); next < end {
+		})
+	}
+	var arrive func(at time.Duration)
+	arrive = func(at time.Duration) {
+		push(at, func() {
+			s, entry := subject(at), random.IntN(d.entries)
+			for i := range d.group {
+				offset := time.Duration(0)
+				if i > 0 {
+					offset = time.Duration(random.Int64N(int64(2 * time.Second)))
+				}
+				request(at+offset, s, entry)
+			}
+			if next := at + time.Duration(random.ExpFloat64()*float64(d.group)/d.rate*float64(time.Second)); next < end {
 				arrive(next)
 			}
 		})
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -296,11 +296,12 @@
 	bestCost := 0.0
 	domain := cmp.Or(request.Domain, p.opts.Domain)
 	limits := p.limits(now)
+	byTime := p.placesByTime()
 	for _, m := range p.members {
 		if request.Exclude[m.Server.ID] || request.HasCapacity != nil && !request.HasCapacity(m.Server, p.led[m.Server.ID]) {
 			continue
 		}
-		if p.placesByTime() {
+		if byTime {
 			limits.Burst = p.burst(m)
 		}
 		switch m.state.Check(now, limits) {
@@ -321,9 +322,8 @@
 			continue
 		}
 		cost := 0.0
-		if p.placesByTime() {
-			c := p.candidate(m)
-			cost = p.engines.plan.model.Cost(&c)
+		if byTime {
+			cost = p.engines.plan.model.Cost(p.candidate(m))
 		} else {
 			cost = p.cost(m, request, home, domain, now)
 		}
--- a/core/prefixcache/belief.go
+++ b/core/prefixcache/belief.go
@@ -27,6 +27,9 @@
 // Forget records that the engine holds nothing: it has restarted, or may have.
 func (b *Belief) Forget() { b.parts.Purge() }
 
+// Empty reports whether nothing is known to be held.
+func (b *Belief) Empty() bool { return b.parts.Len() == 0 }
+
 // Record records that a prompt was sent to the engine at the given clock. Parts that are too
 // old to be held with the given capacity are dropped.
 func (b *Belief) Record(prompt sequoialead.Prompt, clock, capacity float64) {
