pool: Read loads when answers begin, and bound bursts by them

Cause: a load report was recorded when its answer ended, as if it were new; a burst of requests for one subject at one entry used up the entry's part of the rate of cold servers.

Change: with placement, loads are recorded when answers begin. By the load, an engine gets one request at a time if it is busy and a burst of six for large shared parts if it is calm; two if its load is not known.

--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -134,6 +134,7 @@
 		return f.handleError(ctx, j, place, err)
 	}
 	f.recordNotice(j, place, response.Notice)
+	f.recordLoad(j, place, response.Load)
 	defer func() { _ = response.Body.Close() }() // a body that was read completely is already closed
 	if response.NotRun || response.Misdirected {
 		return actionRetry, f.handleRefusal(j, place, response)
@@ -288,6 +289,14 @@
 	}
 }
 
+// recordLoad records the load that a backend server reported at the beginning of its answer.
+func (f *Forwarder) recordLoad(j *job, place *pool.Place, load *sequoialead.ServerLoad) {
+	now := f.opts.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pool(j.pool).RecordLoad(place, load, now)
+}
+
 // sendHead sends the head of a stream to the caller unless it was already sent.
 func (j *job) sendHead(r *sequoialead.Response, sink Sink) {
 	if !j.headSent {
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -92,7 +92,7 @@
 		}
 		p.recordEngineEnd(place, end, now)
 	}
-	if load != nil {
+	if load != nil && !place.loadRecorded {
 		p.recordLoad(place, *load, now)
 	}
 	switch end {
@@ -109,6 +109,16 @@
 	}
 }
 
+// RecordLoad records the load that a backend server reported when its answer began. Without
+// Options.Placement, the load is recorded by Release: when it is as old as the answer took.
+func (p *Pool) RecordLoad(place *Place, load *sequoialead.ServerLoad, now time.Time) {
+	if load == nil || place.size == 0 || place.released {
+		return
+	}
+	place.loadRecorded = true
+	p.recordLoad(place, *load, now)
+}
+
 // recordLoad stores the load that a backend server reported.
 func (p *Pool) recordLoad(place *Place, load sequoialead.ServerLoad, now time.Time) {
 	m := place.member
--- a/core/pool/engines.go
+++ b/core/pool/engines.go
@@ -33,7 +33,11 @@
 	evictedReuse = 0.5
 	// reportAge is the age up to which a load report tells whether an engine is busy, for the
 	// burst that it may get.
-	reportAge = 2 * time.Second
+	reportAge = 4 * time.Second
+	// blindBurst is the number of requests that this entry may send at once to an engine known
+	// to be warm whose load is not known. It is less than the default: when a part gets in
+	// demand, all entries send to its home before any knows that it is busy.
+	blindBurst = 2
 	// largeBurst is the number of requests with large shared parts that this entry may send
 	// at once to their home, if it is known to be warm and not busy.
 	largeBurst = 6
@@ -44,7 +48,7 @@
 	// together send less than the first if an engine is calm, and more than the second if it
 	// is busy.
 	calmShare = 0.3
-	busyShare = 0.5
+	busyShare = 0.4
 	// homeRateShare is the part of the rate limit of cold servers that one part's requests
 	// may take at one home.
 	homeRateShare = 0.3
@@ -289,18 +293,22 @@
 }
 
 // burst returns the number of requests that this entry may send at once to an engine known to
-// be warm; zero for that of other servers. A busy engine gets one at a time, and a calm one
-// that is the home of large shared parts gets more.
+// be warm; zero for the default. A busy engine gets one at a time, and a calm one that is the
+// home of large shared parts gets more, each after the answer to the one before has begun. Over a longer time, the entry keeps to its part of the
+// rate in any case.
 func (p *Pool) burst(m *member) int {
 	plan := &p.engines.plan
-	if plan.limit == 0 || plan.now.Sub(m.loadAt) > reportAge {
+	if plan.limit == 0 {
 		return 0
 	}
+	if plan.now.Sub(m.loadAt) > reportAge {
+		return blindBurst
+	}
 	rate := float64(m.load.Running+m.load.Queued) / p.engines.duration
 	switch {
 	case rate > busyShare*plan.limit:
 		return 1
-	case rate < calmShare*plan.limit && plan.shared >= largeTokens && slices.Contains(plan.homes[:plan.assigned], m):
+	case rate < calmShare*plan.limit && m.sentSince == 0 && plan.shared >= largeTokens && slices.Contains(plan.homes[:plan.assigned], m):
 		return largeBurst
 	}
 	return 0
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -80,6 +80,7 @@
 	size              float64
 	predictedRead     float64
 	otherTime         float64
+	loadRecorded      bool
 	member            *member
 	tokens            int
 	start             time.Time
