--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -163,6 +163,8 @@
 			return fmt.Sprintf("stage %s is sent to agent %s in domain %s (attempt %s) with %s left", f["stage"], f["server"], f["domain"], f["try"], roundDuration(f["left"]))
 		}
 		return fmt.Sprintf("is sent to %s in domain %s (attempt %s) with %s left, behind %s prompt tokens of other requests", f["server"], f["domain"], f["try"], roundDuration(f["left"]), f["pending"])
+	case "first-token":
+		return fmt.Sprintf("%s starts to answer after %s; %s was predicted", f["server"], roundDuration(f["took"]), roundDuration(f["predicted"]))
 	case "send-refused":
 		if f["reason"] != "" {
 			return fmt.Sprintf("agent %s does not start it: %s", f["server"], f["reason"])
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -123,8 +123,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	j.attempts++
-	j.trail.Add("send", "try", j.attempts, "server", place.Server.ID, "domain", place.Server.Domain, "left", left, "after", j.lastEventID,
-		"inputs", len(j.inputs), "pending", place.PendingTokens, "home", place.AtHome, "predicted", place.Predicted)
+	fields := []any{"try", j.attempts, "server", place.Server.ID, "domain", place.Server.Domain, "left", left, "after", j.lastEventID,
+		"inputs", len(j.inputs), "pending", place.PendingTokens, "home", place.AtHome}
+	if place.Predicted > 0 {
+		fields = append(fields, "predicted", place.Predicted)
+	}
+	j.trail.Add("send", fields...)
 	j.tried[place.Server.ID] = true
 	response, err := f.opts.Exchanger.Exchange(ctx, sequoialead.ProxyAttempt{
 		Request: j.request, Server: place.Server, TimeLeft: left, Customer: j.customerName(), Urgency: j.urgency,
