pool: Keep own pending tokens apart, and test that failures end beliefs

Cause: the prediction that refusals use was fitted to the tokens of this entry alone, and with placement would have been fitted to those of all.

Change: a place keeps both. TestBeliefEndsWithTheProcess.

--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -66,7 +66,7 @@
 		p.recordEngineRead(place)
 		p.recordEngineTime(place, now)
 	}
-	p.firstByte.add(float64(place.tokens+place.PendingTokens), took)
+	p.firstByte.add(float64(place.tokens+place.ownPending), took)
 	if m.latency == 0 {
 		m.latency = took
 	}
--- a/core/pool/placement_test.go
+++ b/core/pool/placement_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -430,3 +431,40 @@
 		}
 	}
 }
+
+// An engine that may have restarted holds nothing. The failure guarded against: its home is
+// preferred for parts that it has lost, however long the wait there is.
+func TestBeliefEndsWithTheProcess(t *testing.T) {
+	tests := []struct {
+		desc string
+		end  pool.End
+		// change changes the server's record after the request.
+		change func(m *serverset.Member)
+		held   bool
+	}{
+		{"answered", pool.EndDone, nil, true},
+		{"refused", pool.EndRefused, nil, true},
+		{"failed", pool.EndFailed, nil, false},
+		{"not reached", pool.EndUnreachable, nil, false},
+		{"restarted", pool.EndDone, func(m *serverset.Member) { m.Server.StartedAt = time.Unix(1001, 0) }, false},
+		{"moved", pool.EndDone, func(m *serverset.Member) { m.Server.Addr = netip.MustParseAddrPort("10.0.0.9:1") }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			p := buildWith(true, proxyconfig.Pool{Slots: 64, MemoryTokens: 400000, MaxConns: 1000}, 1, 1)
+			now := time.Unix(1002, 0)
+			first, _ := p.Acquire(pool.Request{Prompt: prompt(1, 2)}, now)
+			p.Release(first, test.end, nil, now)
+			now = now.Add(10 * time.Second)
+			if test.change != nil {
+				members := list(1)
+				test.change(&members[0])
+				p.Update(pool.View{Usable: members, Entries: 1}, now)
+			}
+			second, _ := p.Acquire(pool.Request{Prompt: prompt(1, 3)}, now)
+			c.Assert(second.AtHome, qt.IsTrue)
+			c.Assert(first.Predicted-second.Predicted > 40*time.Millisecond, qt.Equals, test.held)
+		})
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -67,7 +67,7 @@
 	// Led is set if this entry leads the backend server.
 	Led bool
 	// PendingTokens is the number of prompt tokens of this entry's earlier requests
-	// that the server has yet to prefill. AtHome tells whether the request's shared
+	// that the server has yet to prefill; with Options.Placement, also of others'. AtHome tells whether the request's shared
 	// parts are assigned to the server.
 	PendingTokens int
 	AtHome        bool
@@ -75,6 +75,8 @@
 	// is known; zero without Options.Placement.
 	Predicted time.Duration
 	Took      time.Duration
+	// ownPending is the part of PendingTokens that this entry's own requests are.
+	ownPending int
 	// size is the number of tokens of the request and its answer. predictedRead is the time
 	// in seconds that a typical engine takes to read, and otherTime the rest of Predicted.
 	size              float64
@@ -273,7 +275,7 @@
 	if best == nil {
 		return nil, reason
 	}
-	place := &Place{Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, AtHome: best.hash == home, member: best, start: now}
+	place := &Place{Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, ownPending: best.pendingTokens, AtHome: best.hash == home, member: best, start: now}
 	switch {
 	case p.placesByTime():
 		p.recordEngineSend(place)
