--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -150,6 +150,7 @@
 		NextRead:    watcher.NextRead,
 		DrainNotice: balancerDelay,
 		Balance:     s.balance,
+		Placement:   s.placement,
 	})
 	return watcher, siblings, forwarder
 }
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -47,6 +47,8 @@
 	// admission makes requests be admitted and ended by a prediction for their whole path.
 	admission bool
 	balance   bool
+	// placement selects model engines by the predicted time to the first token.
+	placement bool
 	level     int
 }
 
@@ -93,6 +95,7 @@
 	flags.BoolVar(&s.outlier, "outlier", false, "eject backend servers that fail all requests although their records look good")
 	flags.BoolVar(&s.admission, "admission", false, "admit requests, and end them, by a prediction for their whole path, and tell refused callers when a place is likely")
 	flags.BoolVar(&s.balance, "balance", false, "whether pieces of stages are made wherever they are made soonest, and what is of no use any more is withdrawn")
+	flags.BoolVar(&s.placement, "placement", false, "choose model engines by the predicted time to the first token")
 	flags.IntVar(&s.level, "level", 0, "the verbosity of the log, from 0")
 }
 
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -70,6 +70,8 @@
 	// NextRead returns the time until the next read of the configuration. It is nil if that
 	// is not known.
 	NextRead func() time.Duration
+	// Placement selects model engines by the predicted time to the first token.
+	Placement bool
 	// DrainNotice is how long a leaving entry continues to accept requests that may
 	// last longer than it runs.
 	DrainNotice time.Duration
@@ -326,6 +328,7 @@
 				}
 				log.Info("server-ejected", "pool", name, "server", e.Server.ID, "started", e.Server.StartedAt, "pause", e.Pause, "probe", e.Probe)
 			},
+			Entry: f.opts.Entry, Placement: f.opts.Placement,
 		})
 		f.pools[name] = p
 	}
--- a/core/forward/outlier_test.go
+++ b/core/forward/outlier_test.go
@@ -164,6 +164,7 @@
 	c := qt.New(t)
 	w := newFakePlatform()
 	w.setRoute(proxyconfig.Route{Kind: proxyconfig.KindStream, Pools: []proxyconfig.WeightedPool{{Pool: "draft", Weight: 1}}})
+	w.script = []string{"events"}
 	f := w.newForwarder(t)
 	p := newProxyRequest(w)
 	p.Prompt = sequoialead.Prompt{Input: 900, Output: 101}
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -137,8 +137,12 @@
 	j.attempts++
 	attemptCtx, g := f.guardAttempt(ctx, j, place)
 	defer g.stop()
-	j.trail.Add("send", "try", j.attempts, "server", place.Server.ID, "domain", place.Server.Domain, "left", left, "after", j.lastEventID,
-		"inputs", len(j.inputs), "pending", place.PendingTokens, "home", place.AtHome)
+	fields := []any{"try", j.attempts, "server", place.Server.ID, "domain", place.Server.Domain, "left", left, "after", j.lastEventID,
+		"inputs", len(j.inputs), "pending", place.PendingTokens, "home", place.AtHome}
+	if place.Predicted > 0 {
+		fields = append(fields, "predicted", place.Predicted)
+	}
+	j.trail.Add("send", fields...)
 	j.tried[place.Server.ID] = true
 	place.Source = j.source()
 	response, err := f.opts.Exchanger.Exchange(attemptCtx, sequoialead.ProxyAttempt{
@@ -150,6 +154,7 @@
 	}
 	place.Reported = response.Load
 	f.recordNotice(j, place, response.Notice)
+	f.recordLoad(j, place, response.Load)
 	defer func() { _ = response.Body.Close() }() // a body that was read completely is already closed
 	if response.NotRun || response.Misdirected {
 		return actionRetry, f.handleRefusal(j, place, response)
@@ -319,7 +324,20 @@
 	if first && f.opts.Admission {
 		f.recordServed(j, now)
 	}
+	known := place.Took > 0
 	f.pool(j.pool).RecordFirstByte(place, now)
+	if !known && place.Took > 0 {
+		f.metrics.firstToken(j.pool, place.Predicted, place.Took)
+		j.trail.Add("first-token", "server", place.Server.ID, "predicted", place.Predicted, "took", place.Took)
+	}
+}
+
+// recordLoad records the load that a backend server reported at the beginning of its answer.
+func (f *Forwarder) recordLoad(j *job, place *pool.Place, load *sequoialead.ServerLoad) {
+	now := f.opts.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pool(j.pool).RecordLoad(place, load, now)
 }
 
 // sendHead sends the head of a stream to the caller unless it was already sent.
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,7 +72,12 @@
 	}
 	took /= place.paceDuring(now)
 	p.recordOwnPace(place, took, now)
-	p.firstByte.add(float64(place.tokens+place.PendingTokens), took)
+	if p.engines != nil && place.size > 0 {
+		place.Took = now.Sub(place.start)
+		p.recordEngineRead(place)
+		p.recordEngineTime(place, now)
+	}
+	p.firstByte.add(float64(place.tokens+place.ownPending), took)
 	if m.latency == 0 {
 		m.latency = took
 	}
@@ -95,7 +101,13 @@
 	if !place.firstByteRecorded {
 		m.pendingTokens -= place.tokens
 	}
-	if load != nil {
+	if p.engines != nil && place.size > 0 {
+		if !place.firstByteRecorded {
+			p.recordEngineRead(place)
+		}
+		p.recordEngineEnd(place, end, now)
+	}
+	if load != nil && !place.loadRecorded {
 		p.recordLoad(place, *load, now)
 	}
 	switch end {
@@ -177,6 +189,16 @@
 	return p.outliers.Ejected(now)
 }
 
+// RecordLoad records the load that a backend server reported when its answer began. Without
+// Options.Placement, the load is recorded by Release: when it is as old as the answer took.
+func (p *Pool) RecordLoad(place *Place, load *sequoialead.ServerLoad, now time.Time) {
+	if load == nil || place.size == 0 || place.released {
+		return
+	}
+	place.loadRecorded = true
+	p.recordLoad(place, *load, now)
+}
+
 // recordLoad stores the load that a backend server reported.
 func (p *Pool) recordLoad(place *Place, load sequoialead.ServerLoad, now time.Time) {
 	m := place.member
@@ -208,8 +230,6 @@
 // mix hashes the XOR of two hashes, so that the result is evenly distributed.
 func mix(x uint64) uint64 {
 	var b [8]byte
-	for i := range b {
-		b[i] = byte(x >> (8 * i))
-	}
+	binary.LittleEndian.PutUint64(b[:], x)
 	return xxhash.Sum64(b[:])
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -30,6 +30,10 @@
 	Limits Limits
 	// OnEjected is called when a backend server is ejected; it may be nil.
 	OnEjected func(outlier.Event)
+	// Entry is the name of this entry.
+	Entry string
+	// Placement selects model engines by the predicted time to the first token.
+	Placement bool
 }
 
 // Limits holds the limits that apply to all entries together and may change while
@@ -55,6 +59,8 @@
 	Exclude map[string]bool
 	// Domain is the preferred failure domain; empty for that of the entry.
 	Domain string
+	// Left is the time within which the first event of the answer is on time; 0 if unknown.
+	Left time.Duration
 	// HasCapacity reports whether a backend server has capacity for the request; nil
 	// if no such check is needed. The argument led is set if this entry leads the
 	// server.
@@ -68,7 +74,7 @@
 	// Led is set if this entry leads the backend server.
 	Led bool
 	// PendingTokens is the number of prompt tokens of this entry's earlier requests
-	// that the server has yet to prefill. AtHome tells whether the request's shared
+	// that the server has yet to prefill; with Options.Placement, also of others'. AtHome tells whether the request's shared
 	// parts are assigned to the server.
 	PendingTokens int
 	AtHome        bool
@@ -86,8 +92,20 @@
 	// not known.
 	pace float64
 	// prompt is set if the request counts in the memory of a model engine, as inMemory tells.
-	prompt            sequoialead.Prompt
-	inMemory          bool
+	prompt   sequoialead.Prompt
+	inMemory bool
+	// Predicted is the predicted time to the first token, and Took the actual one once it
+	// is known; zero without Options.Placement.
+	Predicted time.Duration
+	Took      time.Duration
+	// ownPending is the part of PendingTokens that this entry's own requests are.
+	ownPending int
+	// size is the number of tokens of the request and its answer. predictedRead is the time
+	// in seconds that a typical engine takes to read, and otherTime the rest of Predicted.
+	size              float64
+	predictedRead     float64
+	otherTime         float64
+	loadRecorded      bool
 	member            *member
 	tokens            int
 	start             time.Time
@@ -123,7 +141,8 @@
 	// sentSince counts the requests sent after that report.
 	sentSince int
 	// hash is the hash of the server's ID, for the rendezvous hashing of prompts.
-	hash uint64
+	hash   uint64
+	engine engineState
 }
 
 // Pool is this entry's state for one pool. It is not safe for concurrent use.
@@ -151,6 +170,8 @@
 	needs                  int
 	// firstByte predicts the time to the first byte of an answer.
 	firstByte regression
+	// engines is nil without Options.Placement.
+	engines *engines
 }
 
 // Weights and limits for choosing a backend server. Penalties are multiples of the
@@ -188,7 +209,11 @@
 
 // New returns a pool without backend servers.
 func New(opts Options) *Pool {
-	return &Pool{opts: opts, conf: &proxyconfig.Pool{Name: opts.Name}, register: availability.New(), outliers: outlier.New(), entries: 1, budget: retries.New(opts.Limits.Retries)}
+	p := &Pool{opts: opts, conf: &proxyconfig.Pool{Name: opts.Name}, register: availability.New(), outliers: outlier.New(), entries: 1, budget: retries.New(opts.Limits.Retries)}
+	if opts.Placement {
+		p.engines = newEngines(opts.Entry)
+	}
+	return p
 }
 
 // Configure applies new limits.
@@ -265,6 +290,9 @@
 				memory: enginememory.New(),
 			}
 			replacement.pace, replacement.own = newPaceTrackers()
+			if p.engines != nil {
+				replacement.engine = p.engines.newEngineState(now)
+			}
 			replacement.state.MarkCold(now.Add(availability.ColdPeriod))
 			m = replacement
 		}
@@ -276,6 +304,9 @@
 		m.state.MarkCold(e.ReadAt.Add(e.Server.ColdLeft))
 		p.members = append(p.members, m)
 	}
+	if p.engines != nil && len(p.members) > 0 {
+		p.engines.updated = true
+	}
 	p.register.Prune(now)
 	if p.opts.Limits.Outlier {
 		p.outliers.Update(p.candidates(), now)
@@ -285,16 +316,27 @@
 
 // Acquire returns a place for a request, or the reason why there is none now.
 func (p *Pool) Acquire(request Request, now time.Time) (*Place, sequoialead.Reason) {
-	home := p.home(request.Prompt)
+	home := uint64(0)
+	if p.placesByTime() {
+		p.prepare(request, cmp.Or(request.Domain, p.opts.Domain), now)
+	} else {
+		home = p.home(request.Prompt)
+	}
 	best, reason := p.choose(request, home, now)
 	if best == nil {
 		return nil, reason
 	}
-	place := &Place{Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, AtHome: best.hash == home, pace: best.paceAtStart(now), member: best, start: now}
-	if p.conf.Slots > 0 {
+	place := &Place{Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, ownPending: best.pendingTokens, AtHome: best.hash == home, pace: best.paceAtStart(now), member: best, start: now}
+	switch {
+	case p.placesByTime():
+		p.recordEngineSend(place)
+		best.pendingTokens += place.tokens
+	case p.conf.Slots > 0:
 		place.tokens = max(request.Prompt.Input-best.cache.Cached(request.Prompt), 0)
 		best.pendingTokens += place.tokens
 		best.cache.Record(request.Prompt)
+	}
+	if p.conf.Slots > 0 {
 		p.addMemory(place, request.Prompt)
 	}
 	place.probe = p.opts.Limits.Outlier && p.outliers.Sent(best.Server, now)
@@ -326,6 +368,7 @@
 	if limitsMemory {
 		meanOthers = p.meanOthers(now)
 	}
+	byTime := p.placesByTime()
 	for _, m := range p.members {
 		if request.Exclude[m.Server.ID] {
 			continue
@@ -340,6 +383,9 @@
 		if request.HasCapacity != nil && !request.HasCapacity(m.Server, p.led[m.Server.ID]) {
 			continue
 		}
+		if byTime {
+			limits.Burst = p.burst(m)
+		}
 		switch m.state.Check(now, limits) {
 		case availability.CauseLeaving, availability.CauseUnreachable:
 			continue
@@ -357,7 +403,12 @@
 			reason = sequoialead.ReasonFull
 			continue
 		}
-		cost := p.cost(m, request, home, domain, now)
+		cost := 0.0
+		if byTime {
+			cost = p.engines.plan.model.Cost(p.candidate(m))
+		} else {
+			cost = p.cost(m, request, home, domain, now)
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = m, cost
 		}
@@ -392,10 +443,16 @@
 // coldRate returns this entry's part of the request rate that a cold backend server bears;
 // 0 for no limit.
 func (p *Pool) coldRate() float64 {
+	return p.coldLimit() * coldLimitShare / float64(p.entries)
+}
+
+// coldLimit returns the requests per second that all entries together may send to a cold
+// backend server; 0 for no limit.
+func (p *Pool) coldLimit() float64 {
 	if p.conf.ColdRate <= 0 {
 		return 0
 	}
-	return (p.conf.ColdRate*p.opts.Limits.ColdFactor + p.opts.Limits.ColdSlack) * coldLimitShare / float64(p.entries)
+	return p.conf.ColdRate*p.opts.Limits.ColdFactor + p.opts.Limits.ColdSlack
 }
 
 // allUnreachable reports whether no backend server that may be sent to can be reached.
