callstart: Space the starts of calls under load, and split fewer orders

Both act with the setting balance only.

Cause: if each idle server gets what waits at that moment, calls start in bunches: the first order gets a call of its own, and the next find no server until it ends. An order was split over several calls because the first server had too little room.

Change: while a third of the servers or more have calls, starts are apart by a call's time divided by the servers, unless one more order would not fit, an order was started, or one has no time to wait. An order that doesn't fit into a server's room waits for one that takes all of it while it has two calls' time.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -278,12 +278,22 @@
 			}
 		}
 		q.takeRetries(func() bool { return b.opts.Pools.TakeRetry(q.name) })
+		if b.opts.Balance {
+			if wait := q.startAt(now, conf.Pieces, max(led, 1)).Sub(now); wait > 0 {
+				b.dispatchAfter(q, wait)
+				return
+			}
+		}
 		place, room := b.findPlace(q, conf, now)
 		if place == nil {
 			b.dispatchLater(q)
 			return
 		}
-		c := &call{q: q, conf: conf, place: place, shared: !place.Led || q.contention.Shared(place.Server.ID, now), batch: q.takeBatch(conf.Pieces.MaxBatch, place.Server, room, b.localWaitFunc(q, conf, now))}
+		waits := b.localWaitFunc(q, conf, now)
+		if b.opts.Balance {
+			waits = q.orRoomWait(waits, conf.Pieces, room, max(led, 1), now)
+		}
+		c := &call{q: q, conf: conf, place: place, shared: !place.Led || q.contention.Shared(place.Server.ID, now), batch: q.takeBatch(conf.Pieces.MaxBatch, place.Server, room, waits)}
 		if len(c.batch) == 0 {
 			b.opts.Pools.Release(q.name, place, pool.EndAbandoned, nil)
 			b.dispatchLater(q)
@@ -294,6 +304,7 @@
 		}
 		q.times.Advance(q.state(now, max(led, 1)))
 		q.inFlight++
+		q.startedAt = now
 		q.recordTurns(c.batch, conf.Pieces.MaxBatch)
 		if len(q.orders) > 0 {
 			q.times.RecordLoaded(conf.Pieces, len(c.batch), q.state(now, max(led, 1)))
@@ -309,12 +320,15 @@
 
 // dispatchLater calls dispatch after placeRetryInterval, when a backend server
 // may have a place again.
-func (b *Batcher) dispatchLater(q *queue) {
+func (b *Batcher) dispatchLater(q *queue) { b.dispatchAfter(q, placeRetryInterval) }
+
+// dispatchAfter calls dispatch after a delay, unless that is scheduled already.
+func (b *Batcher) dispatchAfter(q *queue, delay time.Duration) {
 	if q.dispatchScheduled {
 		return
 	}
 	q.dispatchScheduled = true
-	time.AfterFunc(placeRetryInterval, func() {
+	time.AfterFunc(min(delay, placeRetryInterval), func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		q.dispatchScheduled = false
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -20,13 +20,14 @@
 // order can get one.
 func (b *Batcher) findPlace(q *queue, conf *proxyconfig.Pool, now time.Time) (*pool.Place, spareRoom) {
 	waitsForLocal := b.localWaitFunc(q, conf, now)
-	leads := b.opts.Pools.LedServers(q.name) > 0
+	led := b.opts.Pools.LedServers(q.name)
+	leads, callTime := led > 0, q.times.CallTime(conf.Pieces, q.state(now, max(led, 1)))
 	for _, o := range q.orders[:min(len(q.orders), maxOrdersTried)] {
 		if o.awaitsRetry {
 			continue
 		}
 		need := o.pendingBytes(conf.Pieces.MaxBatch)
-		if b.opts.Balance {
+		if b.opts.Balance && o.maySplit(now, callTime) {
 			// A server whose usable room is reduced may be too small for the whole order.
 			need = min(need, max(conf.Pieces.RoomBytes/2, o.largest))
 		}
@@ -68,6 +69,16 @@
 	}
 }
 
+// orRoomWait returns a function that reports whether waits does, or whether an order that would
+// be split for lack of room has time to wait for a server that takes all of its pieces.
+func (q *queue) orRoomWait(waits func(o *pendingOrder, domain string) bool, conf *proxyconfig.PieceLimits, room spareRoom, servers int, now time.Time) func(o *pendingOrder, domain string) bool {
+	callTime := q.times.CallTime(conf, q.state(now, servers))
+	return func(o *pendingOrder, domain string) bool {
+		split := !room.whole && o.pendingBytes(conf.MaxBatch) > room.bytes && !o.maySplit(now, callTime)
+		return split || waits(o, domain)
+	}
+}
+
 // notifyInputsRead schedules the OnInputsRead callbacks of the orders whose
 // last pieces are in this call. It does nothing if other entries may have calls
 // at the backend server, because these may be served first, nor while this
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sequoialead"
+	"sequoialead/core/callstart"
 	"sequoialead/core/calltime"
 	"sequoialead/core/contention"
 	"sequoialead/core/lateness"
@@ -133,6 +134,8 @@
 	// piece last failed. Both are used with Options.Balance only.
 	turns    lateness.Turns
 	failedAt time.Time
+	// startedAt is when a call was last started. It is used with Options.Balance only.
+	startedAt time.Time
 }
 
 // checkSizes marks the orders with pieces larger than the configured room. It fails those
@@ -290,7 +293,7 @@
 			withdrawn++
 			continue
 		}
-		if lateAhead == 0 && q.turns.Due(len(o.pending), conf.MaxBatch) {
+		if lateAhead == 0 && q.turns.Due(load, o.order.ExpiresAt, len(o.pending), conf.MaxBatch) {
 			o.turn, moved = true, true
 		}
 		lateAhead += len(o.pending)
@@ -301,6 +304,30 @@
 	return withdrawn
 }
 
+// startAt returns when the next call may start.
+func (q *queue) startAt(now time.Time, conf *proxyconfig.PieceLimits, servers int) time.Time {
+	g := callstart.Group{
+		Servers: servers, Calls: q.inFlight, StartedAt: q.startedAt, MaxBatch: conf.MaxBatch, Orders: len(q.orders), Pieces: q.pendingPieces(),
+		CallTime: q.times.CallTime(conf, q.state(now, servers)), Configured: calltime.Configured(conf, float64(conf.MaxBatch)),
+	}
+	for _, o := range q.orders {
+		g.Started = g.Started || o.started
+		if !o.late && (g.DueAt.IsZero() || o.order.DueAt.Before(g.DueAt)) {
+			g.DueAt = o.order.DueAt
+		}
+	}
+	return callstart.StartAt(g)
+}
+
+// splitCalls is the number of calls' time that must be left to an order for its pieces to wait
+// for a server that takes all of them: that of the wait for it and of the call.
+const splitCalls = 2
+
+// maySplit reports whether an order's pieces may go in several calls for lack of room.
+func (o *pendingOrder) maySplit(now time.Time, callTime time.Duration) bool {
+	return o.started || !now.Add(splitCalls*callTime).Before(o.order.DueAt)
+}
+
 // recordTurns records which pieces of a call are late.
 func (q *queue) recordTurns(batch []*pendingPiece, full int) {
 	late := 0
--- a/core/forward/replay_test.go
+++ b/core/forward/replay_test.go
@@ -37,6 +37,8 @@
 	// turns holds a channel for each server that makes pieces, which takes the one call
 	// that runs.
 	turns map[string]chan struct{}
+	// balance is the setting of that name.
+	balance bool
 
 	mu      sync.Mutex
 	held    map[string]int
@@ -164,7 +166,7 @@
 	}
 	f := forward.New(forward.Options{
 		Knowledge: m, Exchanger: m, Maker: m, Siblings: noSiblings{}, Quarantine: newQuarantine(time.Now), Log: klog.Logger{}, Metrics: metrics.NewSet(), Now: time.Now,
-		Random: rand.New(rand.NewPCG(seed, 1)), Entry: "e", Domain: "a",
+		Random: rand.New(rand.NewPCG(seed, 1)), Entry: "e", Domain: "a", Balance: m.balance,
 		Limits: forward.Limits{Limits: pool.Limits{Retries: retries.Options{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, ColdFactor: 1}, Revoke: time.Minute},
 	})
 	qt.Assert(t, f.Start(context.Background()), qt.IsNil)
@@ -244,14 +246,16 @@
 			pieces: func(r *rand.Rand) []int { return []int{large(r), 1, 8, 16} },
 		},
 	}
-	for seed := uint64(1); seed <= 3; seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+	for n := uint64(2); n <= 7; n++ {
+		seed, balance := n/2, n%2 == 1
+		t.Run(fmt.Sprintf("seed %d, balance %t", seed, balance), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				m := newLoadModel(map[string]int{"model": 12, "ledger": 3, "queue": 5, "portal": 5}, map[string]*proxyconfig.PieceLimits{
 					"ledger": {MaxBatch: 8, CallTime: 150 * time.Millisecond, ItemTime: 16 * time.Millisecond, RoomBytes: 39 * megabyte},
 					"queue":  {MaxBatch: 16, CallTime: 150 * time.Millisecond, ItemTime: 8 * time.Millisecond, RoomBytes: 2700 * kilobyte},
 					"portal": {MaxBatch: 30, CallTime: 150 * time.Millisecond, ItemTime: 4 * time.Millisecond, RoomBytes: 530 * kilobyte},
 				})
+				m.balance = balance
 				shares := replay(t, m, seed, 20*time.Second, load)
 				t.Logf("on time %v, %d pieces", shares, m.made)
 				// A short path is given 1.5 times its estimated time at the end of the long one.
--- a/core/lateness/lateness.go
+++ b/core/lateness/lateness.go
@@ -18,6 +18,9 @@
 	// hopelessCalls is the time for which an order is hopeless before it is withdrawn, in
 	// calls.
 	hopelessCalls = 1.0
+	// lastCalls is the time before its end of use, in calls, from which a late order takes
+	// its turn. Until then there may be less demand, and it costs others nothing.
+	lastCalls = 3
 )
 
 // Load is the state of a queue.
@@ -64,5 +67,9 @@
 	t.credit = max(t.credit, -float64(full))
 }
 
-// Due reports whether it is the turn of a late order with a number of pieces.
-func (t *Turns) Due(pieces, full int) bool { return t.credit >= float64(min(pieces, full)) }
+// Due reports whether it is the turn of a late order with a number of pieces, which is of use
+// until a time.
+func (t *Turns) Due(l Load, usefulUntil time.Time, pieces, full int) bool {
+	lastChance := l.Now.Add(lastCalls * l.CallTime).After(usefulUntil)
+	return lastChance && t.credit >= float64(min(pieces, full))
+}
