--- a/core/batch/start_test.go
+++ b/core/batch/start_test.go
@@ -138,7 +138,7 @@
 					c.Check(with.mean < without.mean+15*time.Millisecond, qt.IsTrue)
 					c.Check(with.late < without.late+0.01, qt.IsTrue)
 				}
-				if conf.MaxBatch == 44 && servers >= 6 && load >= 0.6 && load <= 0.8 { // at 1.0 the queue never empties, and single runs vary
+				if conf.MaxBatch == 44 && servers >= 6 && load >= 0.6 && load <= 0.8 { // at 1.0 the queue never empties, and chance decides
 					c.Check(with.mean < without.mean-25*time.Millisecond, qt.IsTrue)
 				}
 			}
--- a/core/delegate/balance.go
+++ b/core/delegate/balance.go
@@ -38,6 +38,9 @@
 	if chosen != ownLeader && chosen != "" && !d.opts.Siblings.EnsureConnected(chosen) {
 		return ownLeader
 	}
+	if chosen != ownLeader {
+		d.opts.Log.V(1).Info("order-moved", "id", request, "pool", order.Pool, "from", ownLeader, "to", chosen, "pieces", len(order.Pieces))
+	}
 	return chosen
 }
 
--- a/core/lateness/lateness.go
+++ b/core/lateness/lateness.go
@@ -13,7 +13,7 @@
 const (
 	// lateShare is the share of the pieces that late orders get while others wait: an
 	// answer that is late is worth less than one in time, but more than none. With
-	// 0.1, 4% fewer orders were in time in the replay of core/batch at a load of 1.1.
+	// 0.1, 3% fewer orders were in time in the replay of core/batch at a load of 1.1.
 	lateShare = 0.05
 	// hopelessCalls is the time for which an order is hopeless before it is withdrawn, in
 	// calls.
