batch: Notice the led servers with each report of the backlog

An entry learnt of the servers that it leads only with its first order. After a quiet time the first burst found it counted as a new leader, with few calls, for 2 s. Backlogs are asked for with each heartbeat, and now update it.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -226,15 +226,18 @@
 // Backlog returns the load of a pool's queue, from which waiting times are
 // estimated, and the fraction of the room for results that is in use.
 func (b *Batcher) Backlog(name string) protocol.Backlog {
-	led, pieces := max(b.opts.Pools.LedServers(name), 1), &proxyconfig.PieceLimits{MaxBatch: 1}
+	now, led, pieces := b.opts.Now(), b.opts.Pools.LedServers(name), &proxyconfig.PieceLimits{MaxBatch: 1}
 	if conf := b.opts.Pools.Conf(name); conf != nil && conf.Pieces != nil {
 		pieces = conf.Pieces
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.queue(name).backlog(b.opts.Now(), pieces, led)
+	q := b.queue(name)
+	q.updateLedServers(led, now) // it is asked for regularly, also while there are no orders
+	led = max(led, 1)
+	l := q.backlog(now, pieces, led)
 	if pieces.RoomBytes > 0 {
-		l.RoomUsed = b.rooms.usedByPool(name, pieces.RoomBytes, led, b.opts.Now())
+		l.RoomUsed = b.rooms.usedByPool(name, pieces.RoomBytes, led, now)
 	}
 	return l
 }
--- a/core/batch/contention_test.go
+++ b/core/batch/contention_test.go
@@ -216,3 +216,18 @@
 		})
 	}
 }
+
+// An entry that has led its servers for a while without orders is no new leader when the first
+// burst comes: reports of its backlog are asked for all the time.
+func TestIdleLeaderIsNotNew(t *testing.T) {
+	c := qt.New(t)
+	f := &flakyMaker{}
+	now := start()
+	b := New(Options{Metrics: metrics.NewSet(), Maker: f, Pools: f, Log: klog.Logger{}, Now: func() time.Time { return now }})
+	_ = b.Backlog("p")
+	c.Assert(b.queue("p").contention.AnyShared(now), qt.IsTrue)
+	now = now.Add(2 * time.Second)
+	_ = b.Backlog("p")
+	b.queue("p").updateLedServers(1, now)
+	c.Assert(b.queue("p").contention.AnyShared(now), qt.IsFalse)
+}
