--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -226,15 +226,18 @@
 // Backlog returns the load of a pool's queue, from which waiting times are
 // estimated, and the fraction of the room for results that is in use.
 func (b *Batcher) Backlog(name string) protocol.Backlog {
-	led, pieces := max(b.opts.Pools.LedServers(name), 1), &proxyconfig.PieceLimits{MaxBatch: 1}
+	now, led, pieces := b.opts.Now(), b.opts.Pools.LedServers(name), &proxyconfig.PieceLimits{MaxBatch: 1}
 	if conf := b.opts.Pools.Conf(name); conf != nil && conf.Pieces != nil {
 		pieces = conf.Pieces
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.queue(name).backlog(b.opts.Now(), pieces, led)
+	q := b.queue(name)
+	q.updateLedServers(led, now) // it is asked for regularly, also while there are no orders
+	led = max(led, 1)
+	l := q.backlog(now, pieces, led)
 	if pieces.RoomBytes > 0 {
-		l.RoomUsed = b.rooms.usedByPool(name, pieces.RoomBytes, led, b.opts.Now())
+		l.RoomUsed = b.rooms.usedByPool(name, pieces.RoomBytes, led, now)
 	}
 	return l
 }
@@ -278,12 +281,22 @@
 			}
 		}
 		q.takeRetries(func() bool { return b.opts.Pools.TakeRetry(q.name) })
+		if b.opts.Balance {
+			if wait := q.startAt(now, conf.Pieces, max(led, 1)).Sub(now); wait > 0 {
+				b.dispatchAfter(q, wait)
+				return
+			}
+		}
 		place, room := b.findPlace(q, conf, now)
 		if place == nil {
 			b.dispatchLater(q)
 			return
 		}
-		c := &call{q: q, conf: conf, place: place, shared: !place.Led || q.contention.Shared(place.Server.ID, now), batch: q.takeBatch(conf.Pieces.MaxBatch, place.Server, room, b.localWaitFunc(q, conf, now))}
+		waits := b.localWaitFunc(q, conf, now)
+		if b.opts.Balance {
+			waits = q.orRoomWait(waits, conf.Pieces, room, max(led, 1), now)
+		}
+		c := &call{q: q, conf: conf, place: place, shared: !place.Led || q.contention.Shared(place.Server.ID, now), batch: q.takeBatch(conf.Pieces.MaxBatch, place.Server, room, waits)}
 		if len(c.batch) == 0 {
 			b.opts.Pools.Release(q.name, place, pool.EndAbandoned, nil)
 			b.dispatchLater(q)
@@ -294,6 +307,7 @@
 		}
 		q.times.Advance(q.state(now, max(led, 1)))
 		q.inFlight++
+		q.startedAt = now
 		q.recordTurns(c.batch, conf.Pieces.MaxBatch)
 		if len(q.orders) > 0 {
 			q.times.RecordLoaded(conf.Pieces, len(c.batch), q.state(now, max(led, 1)))
@@ -309,12 +323,15 @@
 
 // dispatchLater calls dispatch after placeRetryInterval, when a backend server
 // may have a place again.
-func (b *Batcher) dispatchLater(q *queue) {
+func (b *Batcher) dispatchLater(q *queue) { b.dispatchAfter(q, placeRetryInterval) }
+
+// dispatchAfter calls dispatch after a delay, unless that is scheduled already.
+func (b *Batcher) dispatchAfter(q *queue, delay time.Duration) {
 	if q.dispatchScheduled {
 		return
 	}
 	q.dispatchScheduled = true
-	time.AfterFunc(placeRetryInterval, func() {
+	time.AfterFunc(min(delay, placeRetryInterval), func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		q.dispatchScheduled = false
