admission: Admit up to 1.3 objectives

Cause: with 1.4 the less urgent kind of TestRefusedCallersComeBack is 0.002 below its bound. Change: 1.3, and the cases of TestAdmit on both sides of it.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -19,7 +19,7 @@
 	// of its objective. It is above one because stages make late orders last, so that they
 	// delay no others, and some of them are in time: with 1.0, 5% fewer of the more urgent
 	// requests were in time in the replay of core/forward.
-	objectiveFactor = 1.4
+	objectiveFactor = 1.3
 	// returningFactor replaces it for callers that were refused before: they have less
 	// time left, and turning them away again in favour of a new request is worse than an
 	// answer that is somewhat late.
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -53,10 +53,10 @@
 		admit   bool
 	}{
 		{"in time", admission.Request{Path: stages(800 * time.Millisecond), Left: 3 * time.Second, Objective: time.Second}, true},
-		{"somewhat late", admission.Request{Path: stages(1290 * time.Millisecond), Left: 3 * time.Second, Objective: time.Second}, true},
-		{"too late", admission.Request{Path: stages(1310 * time.Millisecond), Left: 3 * time.Second, Objective: time.Second}, false},
-		{"too late after what it waited before", admission.Request{Path: stages(1110 * time.Millisecond), Elapsed: 200 * time.Millisecond, Left: 3 * time.Second, Objective: time.Second}, false},
-		{"too late, but refused before", admission.Request{Path: stages(1310 * time.Millisecond), Left: 3 * time.Second, Objective: time.Second, Returning: true}, true},
+		{"somewhat late", admission.Request{Path: stages(1190 * time.Millisecond), Left: 3 * time.Second, Objective: time.Second}, true},
+		{"too late", admission.Request{Path: stages(1210 * time.Millisecond), Left: 3 * time.Second, Objective: time.Second}, false},
+		{"too late after what it waited before", admission.Request{Path: stages(1010 * time.Millisecond), Elapsed: 200 * time.Millisecond, Left: 3 * time.Second, Objective: time.Second}, false},
+		{"too late, but refused before", admission.Request{Path: stages(1210 * time.Millisecond), Left: 3 * time.Second, Objective: time.Second, Returning: true}, true},
 		{"refused before, and its deadline would pass", admission.Request{Path: stages(1200 * time.Millisecond), Left: time.Second, Objective: time.Second, Returning: true}, false},
 		{"no time for a refusal after the prediction", admission.Request{Path: stages(860 * time.Millisecond), Left: time.Second, Objective: time.Second}, false},
 		{"no objective", admission.Request{Path: stages(2 * time.Second), Left: 3 * time.Second}, true},
