--- a/core/admission/silence.go
+++ b/core/admission/silence.go
@@ -13,8 +13,10 @@
 	// objectiveShare replaces it for the time until the objective: another attempt can then
 	// still be in time.
 	objectiveShare = 1.0 / 3
-	// minSilence is the least of such times: the scheduling delays of small busy machines.
-	minSilence = 100 * time.Millisecond
+	// minSilence is the least of such times. Sound engines pause for longer than several
+	// times their usual time to the first byte while they read a large prompt; requests
+	// that left them then took thrice the reading of shared parts.
+	minSilence = time.Second
 )
 
 // Silence returns the time without a byte of an answer after which the backend server of a
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -60,9 +60,8 @@
 	// Metrics receives histograms of calls and queueing times.
 	Metrics *metrics.Set
 	Now     func() time.Time
-	// Balance is set if the usable room of backend servers is learnt from their refusals,
-	// inputs are freed early only where it is certain that they were read, and late orders
-	// are withdrawn or get a share of the calls.
+	// Balance is set if late orders are withdrawn or get a share of the calls, and calls
+	// start evenly spaced under load.
 	Balance bool
 }
 
@@ -165,7 +164,7 @@
 
 // New returns a batcher. Call Start to let it free results.
 func New(opts Options) *Batcher {
-	return &Batcher{opts: opts, stats: callMetrics{set: opts.Metrics}, queues: map[string]*queue{}, rooms: newRoomTracker(opts.Balance), random: rand.Float64, freeSignal: make(chan struct{}, 1)}
+	return &Batcher{opts: opts, stats: callMetrics{set: opts.Metrics}, queues: map[string]*queue{}, rooms: newRoomTracker(), random: rand.Float64, freeSignal: make(chan struct{}, 1)}
 }
 
 // Start begins to free discarded results in the background.
@@ -237,7 +236,7 @@
 	led = max(led, 1)
 	l := q.backlog(now, pieces, led)
 	if pieces.RoomBytes > 0 {
-		l.RoomUsed = b.rooms.usedByPool(name, pieces.RoomBytes, led, now)
+		l.RoomUsed = float64(b.rooms.heldByPool(name)) / float64(pieces.RoomBytes*led)
 	}
 	return l
 }
--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -99,7 +99,7 @@
 		b.settlePiece(c.q, p, m, server, retryGranted)
 	}
 	if withoutRoom > 0 {
-		b.rooms.markFull(server.ID, c.place.Led, room, now)
+		b.rooms.markFull(server.ID, c.place.Led, now)
 		b.stats.countWithoutRoom(c.q.name, withoutRoom)
 	}
 	if err == nil {
@@ -162,9 +162,6 @@
 		return
 	}
 	b.rooms.release(server.ID, p.piece.Bytes)
-	if m.Reason != sequoialead.ReasonRoom {
-		q.failedAt = b.opts.Now()
-	}
 	if o.abandoned || o.ended {
 		return
 	}
--- a/core/batch/place.go
+++ b/core/batch/place.go
@@ -4,10 +4,8 @@
 	"time"
 
 	"sequoialead"
-	"sequoialead/core/calltime"
 	"sequoialead/core/pool"
 	"sequoialead/core/proxyconfig"
-	"sequoialead/core/room"
 )
 
 // maxOrdersTried bounds the orders that are tried for one place. In an
@@ -20,17 +18,12 @@
 // order can get one.
 func (b *Batcher) findPlace(q *queue, conf *proxyconfig.Pool, now time.Time) (*pool.Place, spareRoom) {
 	waitsForLocal := b.localWaitFunc(q, conf, now)
-	led := b.opts.Pools.LedServers(q.name)
-	leads, callTime := led > 0, q.times.CallTime(conf.Pieces, q.state(now, max(led, 1)))
+	leads := b.opts.Pools.LedServers(q.name) > 0
 	for _, o := range q.orders[:min(len(q.orders), maxOrdersTried)] {
 		if o.awaitsRetry {
 			continue
 		}
 		need := o.pendingBytes(conf.Pieces.MaxBatch)
-		if b.opts.Balance && o.maySplit(now, callTime) {
-			// A server whose usable room is reduced may be too small for the whole order.
-			need = min(need, max(conf.Pieces.RoomBytes/2, o.largest))
-		}
 		place, _ := b.opts.Pools.Acquire(q.name, pool.Request{
 			Exclude: o.failedServers, Domain: o.order.Domain,
 			HasCapacity: func(server sequoialead.Server, led bool) bool {
@@ -87,15 +80,6 @@
 	if !c.place.Led || c.q.contention.AnyShared(b.opts.Now()) || b.handingOver {
 		return
 	}
-	delay := inputReadDelay
-	if b.opts.Balance {
-		now := b.opts.Now()
-		callTime := c.q.times.CallTime(c.conf.Pieces, c.q.state(now, max(c.q.ledServers, 1)))
-		certain := false
-		if delay, certain = room.FreeInputsAfter(room.Call{Alone: true, CallTime: max(callTime, calltime.Configured(c.conf.Pieces, float64(len(c.batch)))), FailedAt: c.q.failedAt, Now: now}); !certain {
-			return
-		}
-	}
 	var callbacks []func()
 	for _, p := range c.batch {
 		if o := p.parent; o.order.OnInputsRead != nil && len(o.pending) == 0 && !o.readNotified {
@@ -106,7 +90,7 @@
 	if len(callbacks) == 0 {
 		return
 	}
-	time.AfterFunc(delay, func() {
+	time.AfterFunc(inputReadDelay, func() {
 		for _, f := range callbacks {
 			f()
 		}
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -130,10 +130,9 @@
 	// contention tells where other entries may have calls.
 	contention  contention.Tracker
 	refusedSize refusedSize
-	// turns counts what late orders may have before others. failedAt is when a call or a
-	// piece last failed. Both are used with Options.Balance only.
-	turns    lateness.Turns
-	failedAt time.Time
+	// turns counts what late orders may have before others. It is used with Options.Balance
+	// only.
+	turns lateness.Turns
 	// startedAt is when a call was last started. It is used with Options.Balance only.
 	startedAt time.Time
 }
--- a/core/batch/rooms.go
+++ b/core/batch/rooms.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"sequoialead"
-	"sequoialead/core/room"
 )
 
 const (
@@ -41,8 +40,6 @@
 	// fullUntil is the time until which a backend server is assumed to have no
 	// room.
 	fullUntil map[string]time.Time
-	// usable is what was learnt of the servers' room; nil if all of it is used.
-	usable *room.Usable
 }
 
 // pendingFree holds the discarded results of one backend server.
@@ -54,14 +51,8 @@
 	bytes int
 }
 
-// newRoomTracker returns a tracker that knows of no results. It learns the usable room of
-// servers if learns is set.
-func newRoomTracker(learns bool) *roomTracker {
-	var usable *room.Usable
-	if learns {
-		usable = &room.Usable{}
-	}
-	return &roomTracker{usable: usable, toFree: map[string]*pendingFree{}, held: map[string]int{}, pools: map[string]string{}, fullUntil: map[string]time.Time{}}
+func newRoomTracker() *roomTracker {
+	return &roomTracker{toFree: map[string]*pendingFree{}, held: map[string]int{}, pools: map[string]string{}, fullUntil: map[string]time.Time{}}
 }
 
 // freeRoom returns how many bytes of results this entry may add at a backend
@@ -74,28 +65,7 @@
 	if !led {
 		capacity = int(otherRoomShare * float64(capacity))
 	}
-	return t.usableBytes(capacity, server, now) - t.held[server]
-}
-
-// usableBytes returns the part of a server's room that this entry uses, of the given capacity.
-func (t *roomTracker) usableBytes(capacity int, server string, now time.Time) int {
-	if t.usable == nil {
-		return capacity
-	}
-	return t.usable.Bytes(server, capacity, now)
-}
-
-// usedByPool returns the part in use of the usable room of a pool, given the configured room
-// of a server and the number of servers.
-func (t *roomTracker) usedByPool(pool string, capacity, servers int, now time.Time) float64 {
-	held, usable := 0, capacity*servers
-	for server, bytes := range t.held {
-		if t.pools[server] == pool {
-			held += bytes
-			usable -= capacity - t.usableBytes(capacity, server, now)
-		}
-	}
-	return float64(held) / float64(max(usable, 1))
+	return capacity - t.held[server]
 }
 
 // spareRoom is the room for results that this entry may use at a backend server.
@@ -111,11 +81,8 @@
 	return spareRoom{bytes: t.freeRoom(capacity, server, led, now), whole: t.held[server] == 0 && !now.Before(t.fullUntil[server])}
 }
 
-// markFull records that a backend server of the given capacity had no room for a result.
-func (t *roomTracker) markFull(server string, led bool, capacity int, now time.Time) {
-	if t.usable != nil {
-		t.usable.RecordRefusal(server, t.held[server], capacity, now)
-	}
+// markFull records that a backend server had no room for a result.
+func (t *roomTracker) markFull(server string, led bool, now time.Time) {
 	pause := otherFullPause
 	if led {
 		pause = ownFullPause
@@ -136,6 +103,17 @@
 	}
 }
 
+// heldByPool returns the number of bytes held by the backend servers of a pool.
+func (t *roomTracker) heldByPool(pool string) int {
+	n := 0
+	for server, bytes := range t.held {
+		if t.pools[server] == pool {
+			n += bytes
+		}
+	}
+	return n
+}
+
 // addToFree adds a discarded result to those to free.
 func (t *roomTracker) addToFree(r Result) {
 	pending := t.toFree[r.Server.ID]
