gateway: Bound what is held for callers

Cause: bodies of unknown length counted at their end only, bodies and answers had no time limit, and neither connections, heads nor descriptors were bounded. Clients outside the limits filled a machine's memory (up to 1125 MB of 96) and descriptors. Change: core/callerbudget accounts for connections, heads, bodies and parts of answers and chooses whom to end: bodies and heads without progress first, then connections without a request, never a request that is served. io/web counts connections as they open and ends heads, bodies and answers that make no progress; io/gateway counts a body before its buffer grows, and refuses with 503, 408, 413 or 431 before anything is passed on. A refused body holds its connection for 0.5 s at most; net/http waited for its rest without a limit. The setting files bounds descriptors, also those of idle connections to backend servers; an empty value counts as missing, as templates may render it. The other servers get bounds of connections, heads and times.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"sequoialead/common/bootclock"
+	"sequoialead/core/callerbudget"
 	"sequoialead/core/delegate"
 	"sequoialead/core/forward"
 	"sequoialead/core/membership"
@@ -65,8 +66,6 @@
 	// heapGrowth is the value of GOGC in percent. It is higher than the default of
 	// 100, because here memory is cheaper than CPU time.
 	heapGrowth = 400
-	// bodyShare is the fraction of the memory setting for the bodies of requests.
-	bodyShare = 0.25
 )
 
 // buildGateway adds a gateway's services to a group. It also configures the garbage
@@ -75,7 +74,7 @@
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(heapShare * float64(s.memory) * megabyte))
 	set := metrics.NewSet()
-	client := http1.New(http1.Options{ConnectTimeout: connectTimeout, AckTimeout: ackTimeout, IdleTimeout: idleConnTimeout})
+	client := http1.New(http1.Options{ConnectTimeout: connectTimeout, AckTimeout: ackTimeout, IdleTimeout: idleConnTimeout, MaxIdle: s.filesFor(idleFilesShare)})
 	watcher, siblings, forwarder := buildForwarder(s, log, client, set)
 	ready := &readiness{watcher: watcher}
 	ready.revoke.Store(int64(s.revoke))
@@ -86,19 +85,21 @@
 
 	group.Add(nameConns, client)
 	group.Add(nameSiblings, siblings)
-	group.Add(namePeers, web.New(web.Options{Addr: s.peers, Handler: peerMux}))
+	group.Add(namePeers, web.New(web.Options{Addr: s.peers, Handler: peerMux, Timeout: otherTimeout, Bounds: web.Bounds{Limits: s.peerLimits()}}))
 	group.Add(nameWatch, watcher)
 	group.Add(nameForward, forwarder)
-	group.Add(nameWeb, buildCallers(s, log, watcher, forwarder))
-	group.Add(nameReady, web.New(web.Options{Addr: s.ready, Handler: readyMux}))
+	callers := buildCallers(s, log, watcher, forwarder)
+	group.Add(nameWeb, callers)
+	group.Add(nameReady, web.New(web.Options{Addr: s.ready, Handler: readyMux, Timeout: otherTimeout, Bounds: web.Bounds{Limits: callerbudget.Limits{Conns: maxReadyConns}}}))
 	group.Provide(nameReadiness, ready)
 	if s.metrics.IsValid() {
 		metricsMux := goji.NewMux()
 		metricsMux.HandleFunc(pat.Get("/metrics"), func(w http.ResponseWriter, _ *http.Request) {
 			updateGatewayMetrics(set, watcher, forwarder, client)
+			updateCallerMetrics(set, callers)
 			set.WritePrometheus(w)
 		})
-		group.Add(nameMetrics, web.New(web.Options{Addr: s.metrics, Handler: metricsMux}))
+		group.Add(nameMetrics, web.New(web.Options{Addr: s.metrics, Handler: metricsMux, Timeout: otherTimeout, Bounds: web.Bounds{Limits: callerbudget.Limits{Conns: maxMetricsConns}}}))
 	}
 }
 
@@ -153,12 +154,11 @@
 // buildCallers returns the HTTP server for callers.
 func buildCallers(s gatewaySettings, log klog.Logger, watcher *watch.Watcher, forwarder *forward.Forwarder) *web.Server {
 	handler := gateway.New(gateway.Options{
-		Codec:            platform.Callers{},
-		Forwarder:        forwarder,
-		Config:           watcher.Config,
-		Now:              bootclock.Now,
-		Log:              log,
-		MaxBufferedBytes: int64(bodyShare * float64(s.memory) * megabyte),
+		Codec:     platform.Callers{},
+		Forwarder: forwarder,
+		Config:    watcher.Config,
+		Now:       bootclock.Now,
+		Log:       log,
 	})
 	idle := func() time.Duration {
 		if conf := watcher.Config(); conf != nil {
@@ -166,7 +166,7 @@
 		}
 		return 0
 	}
-	return web.New(web.Options{Addr: s.addr, Handler: handler, Grace: closeReserve / 2, IdleTimeout: idle})
+	return web.New(web.Options{Addr: s.addr, Handler: handler, Grace: closeReserve / 2, IdleTimeout: idle, Bounds: s.callerBounds(watcher), Log: log})
 }
 
 // siblingHandler handles the messages of other entries. It gets the delegate and the
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -29,6 +30,9 @@
 	store   netip.AddrPort
 	// memory is the maximum memory of the process, in MiB.
 	memory int
+	// files is the maximum number of descriptors of the process; 0 for the limit that the
+	// process was started with.
+	files int
 	// cpu is the processor time that the machine provides, in cores.
 	cpu     float64
 	entries int
@@ -73,6 +77,13 @@
 	flags.TextVar(&s.metrics, "metrics", netip.AddrPort{}, "IP:PORT to serve metrics on; no metrics if missing")
 	flags.TextVar(&s.store, "store", netip.AddrPort{}, "IP:PORT of the platform's store")
 	flags.IntVar(&s.memory, "memory", defaultGatewayMemory, "the maximum memory in megabytes, such as 256")
+	flags.Func("files", "the maximum number of open files and connections, such as 1024; the process's own limit if missing or empty", func(value string) (err error) {
+		s.files = 0
+		if value != "" { // a platform that states no limit renders nothing
+			s.files, err = strconv.Atoi(value)
+		}
+		return err
+	})
 	flags.Float64Var(&s.cpu, "cpu", 0, "the processor time that the machine provides, in cores, such as 0.3; entries with much of it work for the others")
 	flags.IntVar(&s.entries, "entries", defaultGatewayEntries, "the number of entries to assume until the store has been read")
 	flags.DurationVar(&s.grace, "grace", defaultGatewayGrace, "the maximum time from the signal to stop until the process exits, such as 8s")
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -81,6 +81,13 @@
 	Flush() error
 }
 
+// Reserver is a Sink that bounds what is held of answers.
+type Reserver interface {
+	// Reserve counts bytes of the answer that are held back, until the request ends. It reports
+	// false if there is no room.
+	Reserve(bytes int64) bool
+}
+
 // Result tells how a request ended.
 type Result struct {
 	// Status is the HTTP status of the failure to report to the caller; zero if
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -207,7 +208,7 @@
 	if r.Status >= http.StatusInternalServerError {
 		end = pool.EndFailed
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes))
+	body, whole, err := readFirst(r, sink)
 	if err != nil {
 		j.trail.Add("answer-cut", "server", place.Server.ID, "bytes", len(body), "err", err)
 		if len(body) == 0 {
@@ -218,7 +219,7 @@
 	f.recordFirstByte(j, place)
 	f.recordAnswer(j, f.opts.Now())
 	j.headSent = true
-	if len(body) < maxBufferedBytes {
+	if whole {
 		sink.Head(r.Status, r.Header, int64(len(body)))
 		if err := sink.Write(body); err != nil {
 			return pool.EndAbandoned, actionFail, sequoialead.ReasonCancelled
@@ -236,6 +237,27 @@
 	return end, actionDone, ""
 }
 
+// readFirst reads an answer up to maxBufferedBytes and reports whether this was all of it. If
+// there is no room to hold back so much, it reads only a first part.
+func readFirst(r *sequoialead.Response, sink Sink) (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(r.Body, copyBufferBytes))
+	if err != nil || len(body) < copyBufferBytes {
+		return body, true, err
+	}
+	if reserver, ok := sink.(Reserver); ok {
+		size := int64(maxBufferedBytes)
+		if r.Length >= 0 {
+			size = min(size, r.Length)
+		}
+		if !reserver.Reserve(size) {
+			return body, false, nil
+		}
+	}
+	buffer := bytes.NewBuffer(body)
+	_, err = buffer.ReadFrom(io.LimitReader(r.Body, maxBufferedBytes-copyBufferBytes))
+	return buffer.Bytes(), buffer.Len() < maxBufferedBytes, err
+}
+
 // promisesNotRun reports whether callers take a status as a promise that the request was not
 // run and will not be.
 func promisesNotRun(status int) bool {
--- a/core/proxyconfig/proxyconfig.go
+++ b/core/proxyconfig/proxyconfig.go
@@ -127,6 +127,8 @@
 type Limits struct {
 	Header int
 	Body   int
+	// HeaderTimeout is the time in which the header of a request must arrive.
+	HeaderTimeout time.Duration
 	// Idle is the idle timeout of connections.
 	Idle time.Duration
 }
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -19,6 +19,7 @@
 	"sequoialead"
 	"sequoialead/common/digest"
 	"sequoialead/core/config"
+	"sequoialead/io/web"
 )
 
 // Names of headers of callers' requests and answers.
@@ -181,6 +182,7 @@
 // invalid; the string then says why.
 func decodeBody(w http.ResponseWriter, r *http.Request) (Request, sequoialead.Reason, string) {
 	var body Request
+	end := web.LimitBodyTime(w)
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(&body)
@@ -191,6 +193,7 @@
 	case err != nil:
 		return body, sequoialead.ReasonBody, err.Error()
 	}
+	end()
 	return body, "", ""
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -7,14 +7,15 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"sequoialead"
+	"sequoialead/core/callerbudget"
 	"sequoialead/core/forward"
 	"sequoialead/core/proxyconfig"
+	"sequoialead/io/web"
 )
 
 // Codec translates between callers' headers and proxied requests.
@@ -37,19 +38,22 @@
 	// while the machine is suspended.
 	Now func() time.Time
 	Log klog.Logger
-	// MaxBufferedBytes is the maximum number of bytes of request bodies held in
-	// memory at once.
-	MaxBufferedBytes int64
 }
 
-// initialBodyBytes is the initial buffer size for a body of unknown length.
-const initialBodyBytes = 4 << 10
+const (
+	// initialBodyBytes is the initial buffer size for a body of unknown length, and
+	// maxInitialBodyBytes that for one of a known length, which may never come. A buffer of up
+	// to initialBodyBytes is counted with its connection.
+	initialBodyBytes    = callerbudget.FreeBodyBytes
+	maxInitialBodyBytes = 64 << 10
+	// memoryRetryAfter is the hint to callers that are refused for lack of memory. Bodies that
+	// don't come end within a second if others need their room.
+	memoryRetryAfter = 250 * time.Millisecond
+)
 
 // Handler passes callers' requests through to backend servers.
 type Handler struct {
 	opts Options
-	// bufferedBytes is the number of bytes of request bodies held in memory.
-	bufferedBytes atomic.Int64
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -67,23 +71,26 @@
 	if current := h.opts.Config(); current != nil {
 		limits = current.Limits
 	}
+	conn := web.ConnOf(r.Context())
 	if limits.Header > 0 && headerSize(r) > limits.Header {
+		conn.LimitRest()
 		h.writeError(w, http.StatusRequestHeaderFieldsTooLarge, sequoialead.ReasonSize, 0)
 		return
 	}
-	body, status := h.readBody(w, r, limits.Body)
+	body, held, status := h.readBody(w, r, conn, limits.Body)
+	defer func() { conn.Release(held) }()
 	if status != 0 {
-		h.writeError(w, status, sequoialead.ReasonSize, 0)
+		h.refuseBody(w, conn, status)
 		return
 	}
-	defer h.bufferedBytes.Add(-int64(len(body)))
 	p, err := h.opts.Codec.Decode(r, body, arrived)
 	if err != nil {
 		h.opts.Log.Info("request-invalid", "err", err)
 		h.writeError(w, http.StatusBadRequest, sequoialead.ReasonBody, 0)
 		return
 	}
-	s := &sink{w: w, controller: http.NewResponseController(w), codec: h.opts.Codec, id: p.ID}
+	s := &sink{w: w, controller: http.NewResponseController(w), codec: h.opts.Codec, id: p.ID, conn: conn}
+	defer s.release()
 	result := h.opts.Forwarder.Serve(r.Context(), p, s)
 	switch {
 	case result.Truncated || result.Disconnected || s.failed:
@@ -105,57 +112,96 @@
 	_, _ = io.WriteString(w, string(reason)+": "+reason.Remedy()+"\n") // fails if the caller has disconnected
 }
 
-// readBody reads a body of at most maxBytes, or of any size if that is 0, and
-// adds its length to bufferedBytes. The status is that of the error to answer
-// with; 0 if there is none.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, maxBytes int) ([]byte, int) {
+// refuseBody answers with an error of the entry itself to a request whose body was not read.
+func (h *Handler) refuseBody(w http.ResponseWriter, conn *web.Conn, status int) {
+	conn.LimitRest()
+	reason, retryAfter := sequoialead.ReasonSize, time.Duration(0)
+	switch status {
+	case http.StatusServiceUnavailable:
+		reason, retryAfter = sequoialead.ReasonMemory, memoryRetryAfter
+	case http.StatusRequestTimeout:
+		reason = sequoialead.ReasonTimeout
+	}
+	if status != http.StatusRequestEntityTooLarge {
+		w.Header().Set("Connection", "close") // the rest of the body is of no use
+	}
+	h.writeError(w, status, reason, retryAfter)
+}
+
+// readBody reads a body of at most maxBytes, or of any size if that is 0. What is held is
+// counted for the connection, before it is allocated, and is to be released. The status is that
+// of the error to answer with; 0 if there is none.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, conn *web.Conn, maxBytes int) (body []byte, held int64, status int) {
 	if maxBytes > 0 && r.ContentLength > int64(maxBytes) {
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, 0, http.StatusRequestEntityTooLarge
 	}
 	if r.ContentLength == 0 {
-		return nil, 0
+		return nil, 0, 0
 	}
-	reserved := int64(initialBodyBytes)
+	size := int64(initialBodyBytes)
 	if r.ContentLength > 0 {
-		reserved = r.ContentLength
+		size = min(r.ContentLength+1, maxInitialBodyBytes) // one more, to find the end without a larger buffer
+	}
+	held = size
+	if size <= initialBodyBytes {
+		held = 0
 	}
-	if h.bufferedBytes.Add(reserved) > h.opts.MaxBufferedBytes {
-		h.bufferedBytes.Add(-reserved)
-		return nil, http.StatusServiceUnavailable
+	if !conn.BeginBody(held) {
+		conn.EndBody(false)
+		return nil, 0, http.StatusServiceUnavailable
 	}
 	src := io.Reader(r.Body)
 	if maxBytes > 0 {
 		src = http.MaxBytesReader(w, r.Body, int64(maxBytes))
 	}
-	body, err := readAll(src, reserved)
-	h.bufferedBytes.Add(int64(len(body)) - reserved)
-	if err == nil {
-		return body, 0
+	body, held, full, err := readAll(src, conn, size, held, r.ContentLength)
+	if !conn.EndBody(err == nil) {
+		conn.Release(held)
+		panic(http.ErrAbortHandler) // the connection was closed, so the request can't be answered
 	}
-	h.bufferedBytes.Add(-int64(len(body)))
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, http.StatusRequestEntityTooLarge
+	switch {
+	case full:
+		return nil, held, http.StatusServiceUnavailable
+	case err == nil:
+		return body, held, 0
+	case errors.As(err, &tooLarge):
+		return nil, held, http.StatusRequestEntityTooLarge
+	case conn.BodyEnded(err):
+		return nil, held, http.StatusRequestTimeout
 	}
+	conn.Release(held)
 	panic(http.ErrAbortHandler) // the body could not be read to its end, for example because the caller has disconnected
 }
 
-// readAll reads src to its end into a buffer that is allocated for sizeHint
-// bytes. On an error it returns what was read so far.
-func readAll(src io.Reader, sizeHint int64) ([]byte, error) {
-	body := make([]byte, 0, sizeHint+1)
+// readAll reads src to its end into a buffer of the given size, of which counted bytes were counted, and
+// grows it as the body arrives. The length is that of the whole body; negative if not known. It returns
+// what is counted at the end, and whether there was no room for more.
+func readAll(src io.Reader, conn *web.Conn, size, counted, length int64) (body []byte, held int64, full bool, err error) {
+	body = make([]byte, 0, size)
 	for {
 		n, err := src.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if err == io.EOF {
-			return body, nil
+			return body, counted, false, nil
 		}
 		if err != nil {
-			return body, err
+			return nil, counted, false, err
 		}
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
+		conn.Progress(int64(n))
+		if len(body) < cap(body) {
+			continue
 		}
+		larger := 2 * size
+		if length >= 0 {
+			larger = min(larger, length+1)
+		}
+		if !conn.Grow(larger) { // both buffers are held while the body is copied
+			return nil, counted, true, nil
+		}
+		body = append(make([]byte, 0, larger), body...)
+		conn.Release(counted)
+		size, counted = larger, larger
 	}
 }
 
@@ -177,6 +223,9 @@
 	controller *http.ResponseController
 	codec      Codec
 	id         string
+	conn       *web.Conn
+	// reserved is what is counted for the answer.
+	reserved int64
 	// failed is set once a write or flush has failed.
 	failed bool
 }
@@ -206,3 +255,15 @@
 	s.failed = s.failed || err != nil
 	return err
 }
+
+// Reserve counts a part of the answer that is held back. It reports false if there is no room.
+func (s *sink) Reserve(bytes int64) bool {
+	if !s.conn.Grow(bytes) {
+		return false
+	}
+	s.reserved += bytes
+	return true
+}
+
+// release ends the count of what was reserved.
+func (s *sink) release() { s.conn.Release(s.reserved) }
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -31,6 +31,8 @@
 	// IdleTimeout is how long a connection may stay idle if the peer sends no timeout
 	// in a Keep-Alive header.
 	IdleTimeout time.Duration
+	// MaxIdle is the maximum number of idle connections to all peers; 0 for no limit.
+	MaxIdle int
 }
 
 const (
@@ -81,9 +83,11 @@
 
 	mu sync.Mutex
 	// idle holds the idle connections by peer, the most recently used last.
-	idle   map[netip.AddrPort][]*conn
-	closed bool
-	opened uint64
+	idle map[netip.AddrPort][]*conn
+	// idleCount is the number of connections in idle.
+	idleCount int
+	closed    bool
+	opened    uint64
 }
 
 type conn struct {
@@ -159,6 +163,7 @@
 			}
 			_ = k.Close() // no request is in flight on it
 		}
+		c.idleCount -= len(list) - len(kept)
 		if len(kept) == 0 {
 			delete(c.idle, addr)
 			continue
@@ -168,6 +173,7 @@
 }
 
 func (c *Client) closeIdle(addr netip.AddrPort) {
+	c.idleCount -= len(c.idle[addr])
 	for _, k := range c.idle[addr] {
 		_ = k.Close() // no request is in flight on it
 	}
@@ -187,6 +193,7 @@
 		}
 		k := list[len(list)-1]
 		c.idle[addr] = list[:len(list)-1]
+		c.idleCount--
 		c.mu.Unlock()
 		if age := now.Sub(k.idleSince); age < maxIdle && age < k.idleTimeout && k.reusable() {
 			return k
@@ -196,17 +203,18 @@
 }
 
 // putIdle adds a connection to the pool of idle ones. It closes the connection
-// instead if the client is closed or the idle timeout is not above 0.
+// instead if the client is closed, there are too many, or the idle timeout is not above 0.
 func (c *Client) putIdle(k *conn, now time.Time) {
 	k.idleSince = now
 	k.used = true
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || k.idleTimeout <= 0 {
+	if c.closed || k.idleTimeout <= 0 || c.opts.MaxIdle > 0 && c.idleCount >= c.opts.MaxIdle {
 		_ = k.Close() // no request is in flight on it
 		return
 	}
 	c.idle[k.addr] = append(c.idle[k.addr], k)
+	c.idleCount++
 }
 
 // reusable reports whether the peer has neither closed the idle connection
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -20,6 +20,7 @@
 	"sequoialead"
 	"sequoialead/common/digest"
 	"sequoialead/core/configlog"
+	"sequoialead/io/web"
 )
 
 // Paths of the API.
@@ -199,10 +200,12 @@
 
 func (h *Handler) handlePatch(w http.ResponseWriter, r *http.Request, author string) {
 	var request PatchRequest
+	end := web.LimitBodyTime(w)
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&request); err != nil {
 		http.Error(w, "invalid patch request: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	end()
 	if request.ID == uuid.Nil || len(request.Changes) == 0 {
 		http.Error(w, "a patch needs an id and at least one change", http.StatusBadRequest)
 		return
--- a/testscripts/flood_test.go
+++ b/testscripts/flood_test.go
@@ -289,6 +289,7 @@
 				return err
 			}
 			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
 		}
 		return nil
 	})
@@ -363,6 +364,7 @@
 			return err
 		}
 		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
 		return openChunked(body)(conn, n, random)
 	})
 }
@@ -383,6 +385,7 @@
 					return err
 				}
 				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
 				time.Sleep(50 * time.Millisecond)
 			}
 			return io.EOF
