commands: End unread answers before the end of the grace

Cause: a stopping gateway waited for requests whose callers don't read their answers, which AbortSent can't end since they are blocked in a write, and net/http waited for new connections and parts of bodies.

--- a/commands/stopgateway.go
+++ b/commands/stopgateway.go
@@ -84,6 +84,7 @@
 		}
 		if elapsed > grace-closeReserve-answerReserve {
 			forwarder.AbortSent()
+			server.AbortUnread() // their requests can't end otherwise
 		}
 		// A request that came before AbortUnsent is in flight now.
 		if elapsed > grace-closeReserve || idle && forwarder.InFlight() == 0 {
