rollout: Move a service's traffic to a new version by the operator's order

Cause: orders of roll-outs were skipped, and servers of every version got requests alike. Change: version of servers, orders and states are decoded; a state machine decides shares and the verdict from the entries' counts; the pool filters servers by version; one entry writes the state with a conditional append. Inactive without the setting expose.

--- a/commands/buildgateway.go
+++ b/commands/buildgateway.go
@@ -19,7 +19,9 @@
 	"sequoialead/core/protocol"
 	"sequoialead/core/quarantine"
 	"sequoialead/core/relay"
+	"sequoialead/core/rollout"
 	"sequoialead/core/services"
+	"sequoialead/core/versions"
 	"sequoialead/core/watch"
 	"sequoialead/io/gateway"
 	"sequoialead/io/http1"
@@ -114,9 +116,10 @@
 	})
 	quarantined := quarantine.New(quarantine.Options{Entry: s.name, Log: log, Metrics: set, Now: bootclock.Now, Wall: time.Now, Spread: s.spread})
 	self := membership.Member{Name: s.name, Domain: s.domain, Addr: s.advertisedAddr(), CPU: s.cpu}
-	watcher = watch.New(watch.Options{
+	store := platform.NewStore(client, s.store)
+	watching := watch.Options{
 		Self:           self,
-		Store:          platform.NewStore(client, s.store),
+		Store:          store,
 		Relay:          relay.New(relay.Options{Self: self, Peers: siblings, Now: bootclock.Now}),
 		Decoder:        platform.Decoder{},
 		Evidence:       quarantined,
@@ -129,7 +132,12 @@
 		Spread:         s.spread,
 		AssumedEntries: s.entries,
 		OnChange:       changed,
-	})
+	}
+	rollouts := buildVersions(s, log, set)
+	if rollouts != nil {
+		watching.Rollouts, watching.RolloutDecoder, watching.Revisions, watching.Rollback = rollouts, platform.Decoder{}, store, s.rollback
+	}
+	watcher = watch.New(watching)
 	backends := platform.NewBackends(client)
 	seed := uint64(time.Now().UnixNano())
 	forwarder = forward.New(forward.Options{
@@ -138,6 +146,7 @@
 		Maker:       backends,
 		Siblings:    siblings,
 		Quarantine:  quarantined,
+		Versions:    rollouts,
 		Log:         log,
 		Metrics:     set,
 		Now:         bootclock.Now,
@@ -150,6 +159,17 @@
 	return watcher, siblings, forwarder
 }
 
+// buildVersions returns the state of roll-out orders; nil if they are ignored.
+func buildVersions(s gatewaySettings, log klog.Logger, set *metrics.Set) *versions.Versions {
+	if s.expose <= 0 {
+		return nil
+	}
+	return versions.New(versions.Options{
+		Entry: s.name, Bounds: rollout.Bounds{Share: s.expose, Slack: s.exposeslack}, Log: log, Metrics: set,
+		Now: bootclock.Now, Wall: time.Now, Random: rand.Float64,
+	})
+}
+
 // buildCallers returns the HTTP server for callers.
 func buildCallers(s gatewaySettings, log klog.Logger, watcher *watch.Watcher, forwarder *forward.Forwarder) *web.Server {
 	handler := gateway.New(gateway.Options{
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -43,7 +43,12 @@
 	over    float64
 	slack   float64
 	hold    time.Duration
-	level   int
+	// expose and exposeslack bound the requests that a bad version gets in a roll-out. With
+	// expose 0, orders of roll-outs are ignored.
+	expose      float64
+	exposeslack float64
+	rollback    time.Duration
+	level       int
 }
 
 // Defaults of a gateway's settings. They are to be overridden with the values of the
@@ -61,6 +66,7 @@
 	defaultRetryWindow    = 10 * time.Second
 	defaultColdOver       = 1.0
 	defaultGatewayHold    = 5 * time.Minute
+	defaultRollback       = 5 * time.Second
 )
 
 func (s *gatewaySettings) bind(flags *flag.FlagSet) {
@@ -86,6 +92,9 @@
 	flags.Float64Var(&s.over, "over", defaultColdOver, "the factor on the configured request rate of a cold backend server, such as 1.5")
 	flags.Float64Var(&s.slack, "slack", 0, "the requests per second that a cold backend server may get in addition, such as 5")
 	flags.DurationVar(&s.hold, "hold", defaultGatewayHold, "the longest time for which a backend server that wants no requests for a while gets none, such as 5m")
+	flags.Float64Var(&s.expose, "expose", 0, "the part of a service's requests that a bad version may get in a roll-out, over all entries, such as 0.1; orders of roll-outs are ignored if it is 0")
+	flags.Float64Var(&s.exposeslack, "exposeslack", 0, "the number of requests that a bad version may get in addition to expose, such as 50")
+	flags.DurationVar(&s.rollback, "rollback", defaultRollback, "the time within which a bad version gets no more requests, such as 5s")
 	flags.IntVar(&s.level, "level", 0, "the verbosity of the log, from 0")
 }
 
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -269,6 +269,7 @@
 		for _, p := range c.batch {
 			b.rooms.reserve(q.name, place.Server.ID, p.piece.Bytes)
 		}
+		place.Units = len(c.batch)
 		q.inFlight++
 		q.observeCallSize(len(c.batch))
 		b.stats.observeWaits(q.name, c.batch, now)
--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -41,6 +41,7 @@
 		end = pool.EndFailed
 	default:
 		b.opts.Pools.RecordFirstByte(c.q.name, c.place)
+		c.place.FailedUnits = countFailed(results)
 	}
 	b.opts.Pools.RecordNotice(c.place.Server.ID, c.batch[0].piece.Request, said.Notice)
 	b.opts.Pools.Release(c.q.name, c.place, end, said.Load)
@@ -49,6 +50,17 @@
 	b.settle(c, results, said.Load, err, b.opts.Now().Sub(now))
 }
 
+// countFailed returns the number of pieces that were not made because the server failed.
+func countFailed(results []sequoialead.PieceResult) int {
+	n := 0
+	for _, r := range results {
+		if r.Handle == "" && r.Reason == sequoialead.ReasonBackend {
+			n++
+		}
+	}
+	return n
+}
+
 // settle completes, fails or requeues the pieces of a finished call.
 func (b *Batcher) settle(c *call, results []sequoialead.PieceResult, load *sequoialead.ServerLoad, err error, duration time.Duration) {
 	c.q.inFlight--
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -8,10 +8,12 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 
@@ -25,6 +27,7 @@
 	"sequoialead/core/proxyconfig"
 	"sequoialead/core/quarantine"
 	"sequoialead/core/serverset"
+	"sequoialead/core/versions"
 )
 
 // Knowledge is the entry's view of the platform's records.
@@ -51,7 +54,9 @@
 	Siblings  delegate.Siblings
 	// Quarantine knows the prompts that crash backend servers.
 	Quarantine *quarantine.Quarantine
-	Log        klog.Logger
+	// Versions is nil if servers of all versions get requests alike.
+	Versions *versions.Versions
+	Log      klog.Logger
 	// Metrics is the set in which counters and histograms are registered.
 	Metrics *metrics.Set
 	// Now is a clock that also runs while the machine is suspended.
@@ -258,7 +263,7 @@
 	led := map[string]map[string]bool{}
 	for name, c := range conf.Pools {
 		if c.Pieces != nil {
-			led[name] = f.delegate.Update(name, known, servers(byPool[name]))
+			led[name] = f.delegate.Update(name, known, f.grouped(name, servers(byPool[name])))
 		}
 	}
 	var read time.Time
@@ -267,6 +272,13 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.opts.Versions != nil {
+		view := versions.View{Servers: byPool, Members: known}
+		if age, ok := f.opts.Knowledge.Lease().Age(now); ok {
+			view.OperatorReadAt = now.Add(-age)
+		}
+		f.opts.Versions.Update(view) // under mu, so that no place is acquired by the step before
+	}
 	f.entries = f.opts.Knowledge.EntryCount(now)
 	for name := range conf.Pools {
 		f.pool(name)
@@ -285,14 +297,45 @@
 	return list
 }
 
+// grouped returns a pool's servers for their division into groups. Groups are of failure
+// domains, and the leader of a group uses its servers only. So servers that get little in a
+// roll-out belong to groups of those that get most.
+func (f *Forwarder) grouped(name string, list []sequoialead.Server) []sequoialead.Server {
+	if f.opts.Versions == nil {
+		return list
+	}
+	leading := f.opts.Versions.Leading(name)
+	if leading == nil {
+		return list
+	}
+	var domains []string
+	for _, s := range list {
+		if leading(s.Version) && !slices.Contains(domains, s.Domain) {
+			domains = append(domains, s.Domain)
+		}
+	}
+	if len(domains) == 0 {
+		return list
+	}
+	slices.Sort(domains)
+	for i, s := range list {
+		if !slices.Contains(domains, s.Domain) {
+			list[i].Domain = domains[xxhash.Sum64String(s.ID)%uint64(len(domains))]
+		}
+	}
+	return list
+}
+
 // pool returns the pool of the given name and creates it if necessary. f.mu must
 // be held.
 func (f *Forwarder) pool(name string) *pool.Pool {
 	p := f.pools[name]
 	if p == nil {
-		p = pool.New(pool.Options{
-			Name: name, Domain: f.opts.Domain, Random: f.opts.Random, Limits: f.opts.Limits.Limits,
-		})
+		opts := pool.Options{Name: name, Domain: f.opts.Domain, Random: f.opts.Random, Limits: f.opts.Limits.Limits}
+		if f.opts.Versions != nil {
+			opts.Versions = f.opts.Versions
+		}
+		p = pool.New(opts)
 		f.pools[name] = p
 	}
 	return p
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -40,7 +40,7 @@
 		share = maxWaitShareCommitted
 	}
 	until := f.opts.Now().Add(time.Duration(share * float64(j.route.Objective)))
-	request := pool.Request{Prompt: j.request.Prompt, Exclude: j.tried}
+	request := pool.Request{Prompt: j.request.Prompt, Exclude: j.tried, Route: j.route.Name}
 	var w *waiter
 	recorded := false
 	defer func() { f.removeWaiter(w) }()
--- a/core/pool/ends.go
+++ b/core/pool/ends.go
@@ -60,6 +60,7 @@
 	m := place.member
 	m.pendingTokens -= place.tokens
 	took := now.Sub(place.start).Seconds()
+	p.recordVersionFirstByte(place, now)
 	p.firstByte.add(float64(place.tokens+place.PendingTokens), took)
 	if m.latency == 0 {
 		m.latency = took
@@ -83,6 +84,7 @@
 	if load != nil {
 		p.recordLoad(place, *load, now)
 	}
+	p.recordVersionEnd(place, end, now)
 	switch end {
 	case EndDone:
 		m.failureRate -= smoothing * m.failureRate
@@ -113,6 +115,9 @@
 	shared := prompt.Parts[len(prompt.Parts)-2].ID
 	best, bestScore := uint64(0), uint64(0)
 	for _, m := range p.members {
+		if !p.mayServe(m) {
+			continue
+		}
 		if score := mix(m.hash ^ shared); best == 0 || score > bestScore {
 			best, bestScore = m.hash, score
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -25,6 +25,8 @@
 	Domain string
 	Random *rand.Rand
 	Limits Limits
+	// Versions is nil if servers of all versions get requests alike.
+	Versions Versions
 }
 
 // Limits holds the limits that apply to all entries together and may change while
@@ -48,6 +50,8 @@
 	Exclude map[string]bool
 	// Domain is the preferred failure domain; empty for that of the entry.
 	Domain string
+	// Route is the name of the request's route; empty for a call that serves several.
+	Route string
 	// HasCapacity reports whether a backend server has capacity for the request; nil
 	// if no such check is needed. The argument led is set if this entry leads the
 	// server.
@@ -63,8 +67,13 @@
 	// PendingTokens is the number of prompt tokens of this entry's earlier requests
 	// that the server has yet to prefill. AtHome tells whether the request's shared
 	// parts are assigned to the server.
-	PendingTokens     int
-	AtHome            bool
+	PendingTokens int
+	AtHome        bool
+	// Units is the number of pieces that a call is for; 0 counts as one. FailedUnits is the
+	// number of those that an answered call did not make because the server failed.
+	Units             int
+	FailedUnits       int
+	route             string
 	member            *member
 	tokens            int
 	start             time.Time
@@ -111,6 +120,9 @@
 	// led holds the IDs of the backend servers that this entry leads.
 	led    map[string]bool
 	budget *retries.Budget
+	// version is the filter of the versions that the current request may go to; nil for
+	// all.
+	version func(version string) bool
 	// firstByte predicts the time to the first byte of an answer.
 	firstByte regression
 }
@@ -173,6 +185,10 @@
 // HomeDomain returns the failure domain of the backend server that a prompt's
 // shared parts are assigned to; empty if there is none.
 func (p *Pool) HomeDomain(prompt sequoialead.Prompt) string {
+	if p.opts.Versions != nil {
+		p.version = p.opts.Versions.Leading(p.opts.Name)
+		defer func() { p.version = nil }()
+	}
 	home := p.home(prompt)
 	for _, m := range p.members {
 		if home != 0 && m.hash == home {
@@ -234,12 +250,11 @@
 
 // Acquire returns a place for a request, or the reason why there is none now.
 func (p *Pool) Acquire(request Request, now time.Time) (*Place, sequoialead.Reason) {
-	home := p.home(request.Prompt)
-	best, reason := p.choose(request, home, now)
+	best, home, reason := p.chooseVersion(request, now)
 	if best == nil {
 		return nil, reason
 	}
-	place := &Place{Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, AtHome: best.hash == home, member: best, start: now}
+	place := &Place{route: request.Route, Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, AtHome: best.hash == home, member: best, start: now}
 	if p.conf.Slots > 0 {
 		place.tokens = max(request.Prompt.Input-best.cache.Cached(request.Prompt), 0)
 		best.pendingTokens += place.tokens
@@ -248,6 +263,7 @@
 	best.inFlight++
 	best.sentSince++
 	best.state.RecordSent(now)
+	p.recordVersionSent(place)
 	return place, ""
 }
 
@@ -260,7 +276,7 @@
 	domain := cmp.Or(request.Domain, p.opts.Domain)
 	limits := p.limits(now)
 	for _, m := range p.members {
-		if request.Exclude[m.Server.ID] || request.HasCapacity != nil && !request.HasCapacity(m.Server, p.led[m.Server.ID]) {
+		if !p.mayServe(m) || request.Exclude[m.Server.ID] || request.HasCapacity != nil && !request.HasCapacity(m.Server, p.led[m.Server.ID]) {
 			continue
 		}
 		switch m.state.Check(now, limits) {
--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -12,7 +12,7 @@
 
 // applyOperator applies the operator's records. After a complete read, domains
 // without an evacuation record are no longer evacuated.
-func (w *Watcher) applyOperator(page sequoialead.Page, complete bool, _ time.Time) {
+func (w *Watcher) applyOperator(page sequoialead.Page, complete bool, now time.Time) {
 	keys := map[string]bool{}
 	for _, item := range page.Items {
 		keys[item.Key] = true
@@ -27,6 +27,7 @@
 		case domain != "":
 			w.servers.Evacuate(domain, len(item.Value) > 0, item.Offset)
 			w.opts.Log.Info("evacuate", "domain", domain, "out", len(item.Value) > 0, "offset", item.Offset)
+		case w.applyOrder(item, now):
 		default:
 			w.opts.Log.Info("record-skipped", "topic", sequoialead.TopicOperator, "key", item.Key)
 		}
@@ -34,6 +35,7 @@
 	if !complete {
 		return
 	}
+	w.dropOrders(keys)
 	for domain := range w.servers.Evacuated() {
 		if !w.hasDomainKey(domain, keys) {
 			w.servers.Evacuate(domain, false, page.Next)
--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -30,6 +30,9 @@
 	// reads counts the successful reads.
 	reads int
 	apply applyFunc
+	// active is nil if the topic is always read. Otherwise it is read only while active
+	// reports true.
+	active func() bool
 	// lease counts from the start of the store read that returned the newest
 	// records, which another entry may have made.
 	lease   *lease.Lease
@@ -68,6 +71,11 @@
 	retryBackoff.InitialInterval = retryMin
 	retryBackoff.MaxInterval = retryMax
 	for f.watcher.tomb.Alive() {
+		if f.active != nil && !f.active() {
+			f.markUnsynced() // the newest records are enough when it becomes active again
+			f.sleep(activePollInterval, nil)
+			continue
+		}
 		recovered := f.watcher.storeRecovered()
 		started := f.watcher.opts.Now()
 		entries := f.watcher.Members(started)
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -106,6 +106,44 @@
 	Changed() <-chan struct{}
 }
 
+// RolloutDecoder translates the records of roll-outs.
+type RolloutDecoder interface {
+	// RolloutService returns the pool that a key of an order or of a state is for. It
+	// reports false for any other key.
+	RolloutService(key string) (pool string, ok bool)
+	// RolloutOrder decodes an order of the operator.
+	RolloutOrder(key string, raw []byte) (sequoialead.RolloutOrder, error)
+	// RolloutStatus decodes the state of an order, and EncodeRolloutStatus encodes one.
+	RolloutStatus(key string, raw []byte) (target, state string, err error)
+	EncodeRolloutStatus(pool, target, state string) (key string, raw []byte, err error)
+}
+
+// Rollouts holds the operator's roll-out orders and what the entries tell each other of
+// them.
+type Rollouts interface {
+	// ApplyOrder applies the newest order for a pool; nil if there is none any more. The
+	// time since is not after the order, if known is set.
+	ApplyOrder(pool string, order *sequoialead.RolloutOrder, since time.Time, known bool)
+	// Ordered returns the pools with an order, and Active whether one has not ended.
+	Ordered() []string
+	Active() bool
+	// ApplyStatus applies the state of an order, and StatusRead records that all states
+	// that were read have been applied.
+	ApplyStatus(pool, target, state string)
+	StatusRead()
+	// ApplyReport takes over the record of an entry, and ReportsRead records that all that
+	// were read have been applied. The error says what is wrong with the record.
+	ApplyReport(entry string, raw []byte) error
+	ReportsRead()
+	// Record returns this entry's record; empty if there is nothing to tell.
+	Record() ([]byte, error)
+	// Changed returns a channel that has a value after Record has changed in a way that the
+	// others should know at once.
+	Changed() <-chan struct{}
+	// Wanted returns the target and the state that this entry should write now, by pool.
+	Wanted() map[string][2]string
+}
+
 // Options configures a watcher.
 type Options struct {
 	// Self is this entry.
@@ -115,7 +153,14 @@
 	Decoder Decoder
 	// Evidence is nil if there is none to be shared.
 	Evidence Evidence
-	Log      klog.Logger
+	// Rollouts is nil if orders of roll-outs are ignored. Otherwise RolloutDecoder and
+	// Revisions are set, and Rollback is the time within which the entries must know of a
+	// bad version.
+	Rollouts       Rollouts
+	RolloutDecoder RolloutDecoder
+	Revisions      sequoialead.RevisionStore
+	Rollback       time.Duration
+	Log            klog.Logger
 	// Metrics receives counters of reads.
 	Metrics *metrics.Set
 	// Now is a clock that goes on while the machine is suspended.
@@ -194,6 +239,9 @@
 		})
 		w.tomb.Go(w.publish)
 	}
+	if w.opts.Rollouts != nil {
+		w.startRollouts()
+	}
 	return nil
 }
 
--- a/fake/store/store.go
+++ b/fake/store/store.go
@@ -120,10 +120,40 @@
 // Put appends a record, as the operator or a backend server would, and returns its
 // offset. An empty value deletes the key.
 func (s *Server) Put(name, key string, value []byte) uint64 {
+	offset, _ := s.putAt(name, key, value, nil)
+	return offset
+}
+
+// Newest returns the newest value of a key; nil if there is none.
+func (s *Server) Newest(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(name).newestValues[key]
+}
+
+// Values returns the values of all records of a key that are kept, oldest first.
+func (s *Server) Values(name, key string) [][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var values [][]byte
+	for _, rec := range s.topic(name).records {
+		if rec.key == key {
+			values = append(values, rec.value)
+		}
+	}
+	return values
+}
+
+// putAt appends a record and returns its offset. If a revision is given and the topic does
+// not end there, it appends nothing and returns the end.
+func (s *Server) putAt(name, key string, value []byte, revision *uint64) (offset uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	offset := t.first + uint64(len(t.records))
+	offset = t.first + uint64(len(t.records))
+	if revision != nil && *revision != offset {
+		return offset, false
+	}
 	t.records = append(t.records, record{key: key, value: value})
 	t.newestOffsets[key] = offset
 	t.newestValues[key] = value
@@ -133,7 +163,7 @@
 	}
 	close(t.changed)
 	t.changed = make(chan struct{})
-	return offset
+	return offset, true
 }
 
 // DropHistory deletes the history of a topic; the newest record of each key is kept.
@@ -255,7 +285,21 @@
 		return
 	}
 	size := int(raw[4])
-	offset := s.Put(r.URL.Query().Get("topic"), string(raw[5:5+size]), raw[5+size:])
+	var revision *uint64
+	if text := r.URL.Query().Get("store_revision"); text != "" {
+		end, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		revision = &end
+	}
+	offset, ok := s.putAt(r.URL.Query().Get("topic"), string(raw[5:5+size]), raw[5+size:], revision)
 	w.Header().Set("Content-Type", "application/json")
+	if !ok {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		_ = json.NewEncoder(w).Encode(map[string]uint64{"end": offset}) // the client may have disconnected
+		return
+	}
 	_ = json.NewEncoder(w).Encode(map[string]uint64{"offset": offset, "end": offset + 1}) // the client may have disconnected
 }
--- a/proxy.go
+++ b/proxy.go
@@ -82,6 +82,18 @@
 	ColdLeft time.Duration
 	// StartedAt is when the process started, by the backend server's own clock.
 	StartedAt time.Time
+	// Version names the version of the software that the process runs; empty if the record
+	// doesn't tell.
+	Version string
+}
+
+// RolloutOrder is an order of the operator to move a pool's traffic to the backend servers
+// of another version.
+type RolloutOrder struct {
+	Pool   string
+	Target string
+	// Duration is the time within which the order has to be decided.
+	Duration time.Duration
 }
 
 // ProxyAttempt is one attempt to send a request to a backend server.
@@ -244,6 +256,13 @@
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
 }
 
+// RevisionStore is a store that appends a record only if the topic has no other new ones.
+type RevisionStore interface {
+	// PutAt appends a keyed record if the topic ends at the given offset, and reports
+	// whether it did. After an error the record may or may not have been stored.
+	PutAt(ctx context.Context, topic Topic, key string, value []byte, end uint64) (bool, error)
+}
+
 // Topic names a stream of keyed records.
 type Topic string
 
@@ -258,4 +277,9 @@
 	// TopicCrashes holds a record for each entry with the prompts that may have
 	// crashed backend servers.
 	TopicCrashes Topic = "crashes"
+	// TopicStatus holds the states of the operator's roll-out orders.
+	TopicStatus Topic = "status"
+	// TopicRollouts holds a record for each entry with what it sent to and got from the
+	// versions of the services in a roll-out.
+	TopicRollouts Topic = "rollouts"
 )
--- a/review/_standin/gate.go
+++ b/review/_standin/gate.go
@@ -43,6 +43,9 @@
 
 var placeholder = regexp.MustCompile(`\{\{([a-z0-9_.]+)\}\}`)
 
+// section matches a part of the template that is rendered only if a value is present.
+var section = regexp.MustCompile(`(?s)\{\{#([a-z0-9_.]+)\}\}(.*?)\{\{/[a-z0-9_.]+\}\}`)
+
 // startGates starts one gateway for each zone named, each with a loopback address of its own.
 func (p *played) startGates(zones ...string) error {
 	a, b := 64+rand.IntN(128), rand.IntN(250)
@@ -73,7 +76,14 @@
 	for k, v := range bounds {
 		values[k] = v
 	}
-	text := placeholder.ReplaceAllStringFunc(string(template), func(m string) string {
+	present := section.ReplaceAllStringFunc(string(template), func(m string) string {
+		parts := section.FindStringSubmatch(m)
+		if values[parts[1]] == "" {
+			return ""
+		}
+		return parts[2]
+	})
+	text := placeholder.ReplaceAllStringFunc(present, func(m string) string {
 		return values[strings.Trim(m, "{}")]
 	})
 	path := filepath.Join(g.p.tmp, g.name+".ini")
