--- a/core/rollout/report.go
+++ b/core/rollout/report.go
@@ -42,6 +42,9 @@
 	Age       time.Duration `cbor:"2,keyasint"`
 	WrittenAt int64         `cbor:"3,keyasint"`
 	Step      Step          `cbor:"4,keyasint"`
+	// StartKnown is set if Age comes from this entry's own reads. Ages that were derived from
+	// other reports are not passed on, since they would grow with each pass.
+	StartKnown bool `cbor:"11,keyasint,omitempty"`
 	// OldInFlight is the number of requests in flight at the old servers.
 	OldInFlight int               `cbor:"5,keyasint,omitempty"`
 	SentOld     uint32            `cbor:"6,keyasint,omitempty"`
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -88,29 +88,34 @@
 	// budgetShare is the part of the requests that a bad version may get which is planned
 	// for. The rest is for the requests sent until all entries have the newest counts.
 	budgetShare = 0.85
-	// trialShare is the part of the plan for the trial, minTrialShare and maxTrialShare
-	// bound the share of the traffic in it, and firstShare is the share while the rate of
-	// requests is unknown.
-	trialShare    = 0.35
-	minTrialShare = 0.01
-	maxTrialShare = 0.25
-	firstShare    = 0.03
+	// trialShare is the part of the plan for the trial, and trialRequests the number of
+	// requests that are enough for it. suspectShare and suspectRequests replace them while
+	// the version may be bad, and more answers have to tell. minTrialShare and maxTrialShare
+	// bound the share of the traffic in the trial, and firstShare is the share while the
+	// rate of requests is unknown.
+	trialShare      = 0.5
+	trialRequests   = 35
+	suspectShare    = 0.6
+	suspectRequests = 70
+	minTrialShare   = 0.01
+	maxTrialShare   = 0.25
+	firstShare      = 0.03
 	// halfShare is the share of the traffic in StepHalf, which takes halfTime of the
 	// duration, between minHalfTime and maxHalfTime.
 	halfShare   = 0.5
-	halfTime    = 0.1
-	minHalfTime = 600 * time.Millisecond
+	halfTime    = 0.08
+	minHalfTime = 700 * time.Millisecond
 	maxHalfTime = 2 * time.Second
 	// StepAll takes what is left of the plan, between these bounds. The lower ones leave
 	// time for all entries to report the step, for requests at the old servers to end and
 	// for the result to be written.
-	minAllTime      = 0.12
+	minAllTime      = 0.15
 	maxAllTime      = 0.3
-	shortestAllTime = 1200 * time.Millisecond
+	shortestAllTime = 1500 * time.Millisecond
 	longestAllTime  = 2 * time.Second
-	// loadedTime is how long all traffic goes to the new version before it is completed. It
-	// covers the way of the counts of bad answers to the writer.
-	loadedTime = time.Second
+	// loadedTime is how long all entries have sent everything to the new version before it
+	// is completed. It covers the way of the counts of bad answers to the writer.
+	loadedTime = 800 * time.Millisecond
 	// minAnswers is the number of answers of the new version, of all entries, before the
 	// first step up, and quietRequests the number of requests of the service up to which
 	// fewer are enough.
@@ -125,6 +130,8 @@
 	// closeLoadedTime is the part of closeTime for which this entry must have sent
 	// everything to the new version.
 	closeLoadedTime = 300 * time.Millisecond
+	// suspectTime is how long a version must have been suspect to be taken for bad.
+	suspectTime = 500 * time.Millisecond
 	// reportMaxAge is the age up to which a report tells what its entry does now.
 	reportMaxAge = 2 * time.Second
 	// rankDelay is the time after which the next entry writes a result that is due, if the
@@ -137,6 +144,10 @@
 	// transitTime is how much older an order may be than a report of its age tells when it
 	// is read.
 	transitTime = 800 * time.Millisecond
+	// minStarts is the number of reports of an entry after which the fastest of them took
+	// little more than minTransit to arrive.
+	minStarts  = 5
+	minTransit = 100 * time.Millisecond
 )
 
 type sample struct {
@@ -190,8 +201,9 @@
 	bad   bool
 	badAt time.Time
 	cause string
-	// suspect is set while the new version may be bad.
-	suspect bool
+	// suspect is set while the new version may be bad, from suspectAt on.
+	suspect   bool
+	suspectAt time.Time
 	// confirmed is set while all entries have reported that nothing is at the old servers.
 	confirmed   bool
 	confirmedAt time.Time
@@ -201,18 +213,22 @@
 	sum      *Report
 	history  []sample
 	slowFrom map[string]uint8
-	targets  int
-	others   int
-	rank     int
-	fresh    bool
-	now      time.Time
+	// startedAt is the time of the order as far as it is known, and starts what the other
+	// entries tell of it.
+	startedAt time.Time
+	starts    map[string]start
+	targets   int
+	others    int
+	rank      int
+	fresh     bool
+	now       time.Time
 }
 
 // New returns the state of an order that has just been read.
 func New(opts Options) *Rollout {
 	return &Rollout{
 		opts: opts, own: newReport(opts.Target), sum: newReport(opts.Target), credit: opts.Phase, slowFrom: map[string]uint8{},
-		stepAt: opts.StartedAt, share: firstShare, now: opts.StartedAt,
+		stepAt: opts.StartedAt, share: firstShare, now: opts.StartedAt, startedAt: opts.StartedAt, starts: map[string]start{},
 	}
 }
 
@@ -229,7 +245,7 @@
 func (r *Rollout) Bad() (string, bool) { return r.cause, r.bad }
 
 // Deadline returns when the order has to be decided.
-func (r *Rollout) Deadline() time.Time { return r.opts.StartedAt.Add(r.opts.Duration) }
+func (r *Rollout) Deadline() time.Time { return r.startedAt.Add(r.opts.Duration) }
 
 // Restore takes over the numbers of this entry's earlier process from its report. The
 // argument wall is the time of day.
@@ -239,9 +255,10 @@
 	}
 	r.own.add(report)
 	r.sum = r.own.clone()
-	if !r.opts.StartKnown && report.WrittenAt > 0 {
+	if !r.opts.StartKnown && report.StartKnown {
 		age := report.Age + max(wall.Sub(time.UnixMilli(report.WrittenAt)), 0)
-		r.opts.StartedAt = earlier(r.opts.StartedAt, now.Add(-age))
+		r.opts.StartedAt, r.opts.StartKnown = now.Add(-age), true
+		r.startedAt = r.opts.StartedAt
 	}
 }
 
@@ -274,28 +291,40 @@
 	}
 	r.addUp(view)
 	finding, cause := r.evaluate(now)
+	if finding == findingSuspect && !r.suspect {
+		r.suspectAt = now
+	}
 	r.suspect = finding == findingSuspect
 	if finding == findingBad && !r.bad {
 		r.bad, r.badAt, r.cause = true, now, cause
 	}
 	r.learnSlow(now)
 	r.plan(now)
+	r.judgeSuspect(now, cause)
 	r.advance(now)
 	r.sample(now)
 }
 
+// judgeSuspect takes a version for bad that is still suspect after all the requests that a
+// bad one may get by the plan.
+func (r *Rollout) judgeSuspect(now time.Time, cause string) {
+	if budget, _ := r.budget(now); r.suspect && now.Sub(r.suspectAt) >= suspectTime && !r.bad && r.step != StepTrial && float64(r.sum.SentNew) >= budget {
+		r.bad, r.badAt, r.cause = true, now, cause+" (suspect)"
+	}
+}
+
 // addUp adds the numbers of the entries and notes how far the others are.
 func (r *Rollout) addUp(view View) {
 	sum := r.own.clone()
 	drained, ahead, fresh := true, 0, 0
-	for _, received := range view.Reports {
+	for entry, received := range view.Reports {
 		report := received.Report
 		if report.Target != r.opts.Target {
 			continue
 		}
 		sum.add(report)
-		if !r.opts.StartKnown {
-			r.opts.StartedAt = earlier(r.opts.StartedAt, received.At.Add(-report.Age-transitTime))
+		if report.StartKnown {
+			r.learnStart(entry, received)
 		}
 		if view.Now.Sub(received.At) > reportMaxAge {
 			continue
@@ -307,6 +336,7 @@
 		drained = drained && report.Step == StepAll && report.OldInFlight == 0
 	}
 	r.sum = sum
+	r.settleStart()
 	confirmed := drained && fresh+1 >= view.Entries && r.step == StepAll && r.own.OldInFlight == 0
 	if confirmed && !r.confirmed {
 		r.confirmedAt = view.Now
@@ -314,11 +344,53 @@
 	r.confirmed, r.majority = confirmed, 2*ahead >= fresh
 }
 
+// start is what the reports of an entry tell of the time of the order.
+type start struct {
+	// at is the earliest time at which a report was read, less the age that it gave, and
+	// count the number of reports.
+	at    time.Time
+	count int
+	last  time.Time
+}
+
+// learnStart notes when the order was given according to a report. Each report is read
+// some time after it was written, so the time may be too late by that.
+func (r *Rollout) learnStart(entry string, received Received) {
+	at := received.At.Add(-received.Report.Age)
+	s, ok := r.starts[entry]
+	switch {
+	case ok && s.last.Equal(received.At):
+		return
+	case !ok || at.Before(s.at):
+		s.at = at
+	}
+	s.count++
+	s.last = received.At
+	r.starts[entry] = s
+}
+
+// settleStart determines the time of the order. What an entry knows from its own reads is
+// not after the order, so the latest of these times is the best.
+func (r *Rollout) settleStart() {
+	best := r.opts.StartedAt
+	if !r.opts.StartKnown {
+		for _, s := range r.starts {
+			best = earlier(best, s.at.Add(-transitTime))
+		}
+	}
+	for _, s := range r.starts {
+		if at := s.at.Add(-minTransit); s.count >= minStarts && at.After(best) {
+			best = at
+		}
+	}
+	r.startedAt = best
+}
+
 // budget returns how many requests a bad version may get up to the deadline by the plan,
 // and the rate of all requests per second.
 func (r *Rollout) budget(now time.Time) (requests, rate float64) {
 	all := float64(r.sum.SentOld + r.sum.SentNew)
-	since := now.Sub(r.opts.StartedAt)
+	since := now.Sub(r.startedAt)
 	if s, ok := r.sampleBefore(now.Add(-longWindow)); ok {
 		since = now.Sub(r.history[0].at)
 		rate = all - float64(s.SentOld+s.SentNew)
@@ -351,22 +423,31 @@
 		r.share = 1
 	case r.step == StepHalf && exposed < budget:
 		r.share = halfShare
-	case r.step == StepHalf, exposed >= trialShare*budget:
+	case r.step == StepHalf, exposed >= r.trialBudget(budget):
 		r.share = 0
 	default:
-		r.share = r.trial(now, budget, rate)
+		r.share = r.trial(now, r.trialBudget(budget), rate)
+	}
+}
+
+// trialBudget returns how many requests the trial may take, of those that the plan allows.
+func (r *Rollout) trialBudget(budget float64) float64 {
+	if r.suspect {
+		return min(suspectShare*budget, suspectRequests)
 	}
+	return min(trialShare*budget, trialRequests)
 }
 
-// trial returns the share of the traffic for the new version during the trial: half of
-// what the plan allows in the first tenth of the time, for versions that fail at once.
-func (r *Rollout) trial(now time.Time, budget, rate float64) float64 {
-	if rate*now.Sub(r.opts.StartedAt).Seconds() < minAnswers || now.Sub(r.opts.StartedAt) < minHalfTime {
+// trial returns the share of the traffic for the new version during the trial, which may
+// take a number of requests: half of the mean share in the first tenth of the time, for
+// versions that fail at once.
+func (r *Rollout) trial(now time.Time, requests, rate float64) float64 {
+	if rate*now.Sub(r.startedAt).Seconds() < minAnswers || now.Sub(r.startedAt) < minHalfTime {
 		return firstShare
 	}
-	length := max(r.halfAt.Sub(r.opts.StartedAt), time.Second).Seconds()
-	share := trialShare * budget / (rate * length)
-	if now.Sub(r.opts.StartedAt) < time.Duration(halfTime*float64(r.opts.Duration)) {
+	length := max(r.halfAt.Sub(r.startedAt), time.Second).Seconds()
+	share := requests / (rate * length)
+	if now.Sub(r.startedAt) < r.opts.Duration/10 {
 		share /= 2
 	}
 	return min(max(share, minTrialShare), maxTrialShare)
@@ -431,7 +512,7 @@
 			return []Side{SideOld}
 		}
 		return []Side{SideNew}
-	case r.credit >= 1 && r.share > 0 && !again:
+	case r.credit+r.share >= 1 && r.share > 0 && !again:
 		return []Side{SideNew, SideOld}
 	}
 	return []Side{SideOld}
@@ -472,23 +553,27 @@
 }
 
 // FirstByte records the first byte of an answer, and how long it took in relation to what
-// is usual for such a request; zero if that is unknown.
-func (r *Rollout) FirstByte(side Side, route, server string, took time.Duration, units int) {
+// is usual for such a request; zero if that is unknown. It reports whether the answer counts
+// against the new version.
+func (r *Rollout) FirstByte(side Side, route, server string, took time.Duration, units int) bool {
 	bucket, n := bucketOf(took), uint32(max(units, 1))
 	counts := r.own.route(route)
 	counts.counts(side).Answers += n
 	if took <= 0 {
-		return
+		return false
 	}
 	if side == SideOld {
 		counts.Times[bucket] += n
 	}
-	if from, ok := r.slowFrom[route]; ok && bucket >= from {
-		counts.counts(side).Slow += n
-		if side == SideNew {
-			r.own.SlowBy[hash(server)] += n
-		}
+	from, ok := r.slowFrom[route]
+	if !ok || bucket < from {
+		return false
+	}
+	counts.counts(side).Slow += n
+	if side == SideNew {
+		r.own.SlowBy[hash(server)] += n
 	}
+	return side == SideNew
 }
 
 // Ended records that a request has ended, with a number of failed answers, and that many
@@ -512,6 +597,7 @@
 func (r *Rollout) Report(now, wall time.Time) *Report {
 	report := r.own.clone()
 	report.Age, report.WrittenAt, report.Step = now.Sub(r.opts.StartedAt), wall.UnixMilli(), r.step
+	report.StartKnown = r.opts.StartKnown
 	return report
 }
 
@@ -531,7 +617,7 @@
 		return StateCompleted
 	case !now.Before(deadline.Add(delay)):
 		return StateRolledBack
-	case r.state == StateNone && now.Sub(r.opts.StartedAt) >= delay:
+	case r.state == StateNone && now.Sub(r.startedAt) >= delay:
 		return StateRunning
 	}
 	return StateNone
@@ -544,7 +630,7 @@
 	if r.step != StepAll || r.suspect || !r.fresh || !r.serversReady() {
 		return false
 	}
-	if r.confirmed && !now.Before(r.confirmedAt.Add(delay)) && now.Sub(r.stepAt) >= loadedTime {
+	if r.confirmed && !now.Before(r.confirmedAt.Add(loadedTime+delay)) {
 		return true
 	}
 	return r.majority && now.Sub(r.stepAt) >= closeLoadedTime && !now.Before(r.Deadline().Add(-closeTime+delay/maxRank))
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -8,9 +8,9 @@
 // The thresholds of the verdict. A version is bad if so many failed or slow answers would
 // hardly come from a version like the old one.
 const (
-	// floorShare is the least share of failures that the old version is taken to have. A
-	// sound version in a fault of the network or of a machine reaches it.
-	floorShare = 0.01
+	// floorShare is the least share of failures that the old version is taken to have. It is
+	// what single faults of the network add up to.
+	floorShare = 0.005
 	// slowFloorShare is the same for slow answers. It is higher, because the new servers
 	// start cold and with empty caches.
 	slowFloorShare = 0.05
@@ -19,11 +19,14 @@
 	margin = 1.5
 	// maxChance is the probability of the counts in a sound version below which it is bad.
 	// The test is made some hundred times in a roll-out.
-	maxChance = 1e-4
-	// suspectChance is the one below which no step up is made.
-	suspectChance = 0.01
+	maxChance = 3e-4
+	// suspectChance is the one below which no step up is made, for the counts of all routes.
+	// suspectRouteChance replaces it for one route and for the short window: there are many
+	// of them, and each would be suspect at times.
+	suspectChance      = 0.03
+	suspectRouteChance = 0.003
 	// minFaults is the least number of faults of a bad version, and minSuspectFaults of one
-	// that is suspect, without those of its worst server, which may be faulty itself.
+	// that is suspect, with the worst server's replaced by the mean of the others.
 	minFaults        = 4
 	minSuspectFaults = 2
 	// minOldTimes is the number of the old version's answers from which it is known how long
@@ -65,25 +68,47 @@
 
 // compare compares the versions by the counts of one window.
 func (r *Rollout) compare(counts *Report, window string) (finding, string) {
-	worstFailed, worstSlow := uint32(0), uint32(0)
-	if r.targets > 1 {
-		worstFailed, worstSlow = largest(counts.FailedBy), largest(counts.SlowBy)
-	}
 	worst, cause := findingGood, ""
 	consider := func(f finding, c string) {
 		if f > worst {
 			worst, cause = f, c+" "+window
 		}
 	}
+	suspectTotal := suspectChance
+	if window == shortWindow.String() {
+		suspectTotal = suspectRouteChance
+	}
 	all := counts.totals()
-	consider(judge(all.New.Answers, less(all.New.Failed, worstFailed), r.oldShare(all.Old, "", failed), floorShare), "failures")
+	worstFailed, worstSlow := largest(counts.FailedBy), largest(counts.SlowBy)
+	consider(judge(all.New.Answers, r.spread(all.New.Failed, worstFailed), r.oldShare(all.Old, "", failed), floorShare, suspectTotal), "failures")
+	consider(judge(all.New.Answers, r.spread(all.New.Slow, worstSlow), r.oldShare(all.Old, "", slow), slowFloorShare, suspectTotal), "slow answers")
 	for name, route := range counts.Routes {
-		consider(judge(route.New.Answers, less(route.New.Failed, worstFailed), r.oldShare(route.Old, name, failed), floorShare), "failures on route "+name)
-		consider(judge(route.New.Answers, less(route.New.Slow, worstSlow), r.oldShare(route.Old, name, slow), slowFloorShare), "slow answers on route "+name)
+		// The worst server's faults are not known by route; they are taken to be spread like all.
+		failures := r.spread(route.New.Failed, part(worstFailed, route.New.Failed, all.New.Failed))
+		consider(judge(route.New.Answers, failures, r.oldShare(route.Old, name, failed), floorShare, suspectRouteChance), "failures on route "+name)
+		late := r.spread(route.New.Slow, part(worstSlow, route.New.Slow, all.New.Slow))
+		consider(judge(route.New.Answers, late, r.oldShare(route.Old, name, slow), slowFloorShare, suspectRouteChance), "slow answers on route "+name)
 	}
 	return worst, cause
 }
 
+// spread returns how many faults there would be if the worst server were like the others,
+// if it has more faults than all of them together: it may be faulty itself.
+func (r *Rollout) spread(faults, worst uint32) uint32 {
+	if r.targets < 2 || 2*worst <= faults {
+		return faults
+	}
+	return less(faults, worst) * uint32(r.targets) / uint32(r.targets-1)
+}
+
+// part returns the part of n that a route has by its part of all faults, rounded up.
+func part(n, faults, all uint32) uint32 {
+	if all == 0 {
+		return 0
+	}
+	return uint32((uint64(n)*uint64(faults) + uint64(all) - 1) / uint64(all))
+}
+
 func failed(c Counts) uint32 { return c.Failed }
 func slow(c Counts) uint32   { return c.Slow }
 
@@ -101,7 +126,7 @@
 }
 
 // judge tells how likely a sound version has so many faults among its answers.
-func judge(answers, faults uint32, oldShare, floor float64) finding {
+func judge(answers, faults uint32, oldShare, floor, suspectBelow float64) finding {
 	if faults < minSuspectFaults {
 		return findingGood
 	}
@@ -109,7 +134,7 @@
 	switch {
 	case chance < maxChance && faults >= minFaults:
 		return findingBad
-	case chance < suspectChance:
+	case chance < suspectBelow:
 		return findingSuspect
 	}
 	return findingGood
--- a/core/versions/versions.go
+++ b/core/versions/versions.go
@@ -480,7 +480,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if r := v.running(name); r != nil {
-		r.FirstByte(sideOf(r, server), route, server.ID, took, units)
+		if r.FirstByte(sideOf(r, server), route, server.ID, took, units) {
+			v.markChanged()
+		}
 	}
 }
 
@@ -500,6 +502,9 @@
 	side := sideOf(r, server)
 	r.AddUnits(side, units-1)
 	r.Ended(side, route, server.ID, answers, failures)
+	if side == rollout.SideNew && failures > 0 {
+		v.markChanged()
+	}
 	v.count("sent", name, side, units-1)
 	v.count("failed", name, side, failures)
 }
--- a/core/watch/rollouts.go
+++ b/core/watch/rollouts.go
@@ -122,9 +122,8 @@
 	ticker := time.NewTicker(activePollInterval)
 	defer ticker.Stop()
 	var writtenAt, activeAt time.Time
-	written := false
+	written, urgent := false, false
 	for {
-		urgent := false
 		select {
 		case <-ticker.C:
 		case <-w.opts.Rollouts.Changed():
@@ -137,7 +136,11 @@
 		if active {
 			activeAt = now
 		}
-		due := active && w.synced(sequoialead.TopicRollouts) && (urgent || now.Sub(writtenAt) >= w.reportInterval())
+		interval := w.reportInterval()
+		if urgent {
+			interval = min(interval, activePollInterval)
+		}
+		due := active && w.synced(sequoialead.TopicRollouts) && now.Sub(writtenAt) >= interval
 		ended := !active && written && now.Sub(activeAt) >= reportRetention
 		if !due && !ended {
 			continue
@@ -146,7 +149,7 @@
 		if err != nil {
 			return err
 		}
-		writtenAt = now
+		writtenAt, urgent = now, false
 		if err := w.put(sequoialead.TopicRollouts, record); err != nil {
 			w.opts.Log.V(1).Info("publish-failed", "topic", sequoialead.TopicRollouts, "err", err)
 			continue
