rollout: Test the entry's state, the conditional append and real processes

Cause: an order was applied before the number of servers was known, so all requests went to the new version for a moment; a share of failures was taken from too few answers.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -111,8 +111,8 @@
 	// for the result to be written.
 	minAllTime      = 0.15
 	maxAllTime      = 0.3
-	shortestAllTime = 1500 * time.Millisecond
-	longestAllTime  = 2 * time.Second
+	shortestAllTime = 1800 * time.Millisecond
+	longestAllTime  = 2500 * time.Millisecond
 	// loadedTime is how long all entries have sent everything to the new version before it
 	// is completed. It covers the way of the counts of bad answers to the writer.
 	loadedTime = 800 * time.Millisecond
@@ -126,12 +126,14 @@
 	minServerShare = 0.5
 	// closeTime is the time before the deadline from which requests in flight at the old
 	// servers are no longer waited for.
-	closeTime = 700 * time.Millisecond
+	closeTime = time.Second
 	// closeLoadedTime is the part of closeTime for which this entry must have sent
 	// everything to the new version.
 	closeLoadedTime = 300 * time.Millisecond
 	// suspectTime is how long a version must have been suspect to be taken for bad.
 	suspectTime = 500 * time.Millisecond
+	// countDelay is the usual age of the others' counts.
+	countDelay = 400 * time.Millisecond
 	// reportMaxAge is the age up to which a report tells what its entry does now.
 	reportMaxAge = 2 * time.Second
 	// rankDelay is the time after which the next entry writes a result that is due, if the
@@ -217,6 +219,7 @@
 	// entries tell of it.
 	startedAt time.Time
 	starts    map[string]start
+	updated   bool
 	targets   int
 	others    int
 	rank      int
@@ -285,7 +288,7 @@
 func (r *Rollout) Update(view View) {
 	now := view.Now
 	r.now, r.targets, r.others, r.rank, r.fresh = now, view.Targets, view.Others, view.Rank, view.Fresh && r.statusRead
-	r.own.OldInFlight = view.OldInFlight
+	r.own.OldInFlight, r.updated = view.OldInFlight, true
 	if r.state.Final() {
 		return
 	}
@@ -308,7 +311,11 @@
 // judgeSuspect takes a version for bad that is still suspect after all the requests that a
 // bad one may get by the plan.
 func (r *Rollout) judgeSuspect(now time.Time, cause string) {
-	if budget, _ := r.budget(now); r.suspect && now.Sub(r.suspectAt) >= suspectTime && !r.bad && r.step != StepTrial && float64(r.sum.SentNew) >= budget {
+	if !r.suspect || r.bad || r.step == StepTrial || now.Sub(r.suspectAt) < suspectTime {
+		return
+	}
+	budget, rate := r.budget(now)
+	if float64(r.sum.SentNew)+rate*r.share*countDelay.Seconds() >= budget {
 		r.bad, r.badAt, r.cause = true, now, cause+" (suspect)"
 	}
 }
@@ -497,7 +504,7 @@
 	case r.state == StateCompleted:
 		return []Side{SideNew, SideOld}
 	case !r.statusRead:
-		if r.others == 0 {
+		if r.updated && r.others == 0 {
 			return []Side{SideNew} // the old servers stop once the order is completed
 		}
 		return []Side{SideOld}
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -158,7 +158,7 @@
 	for j := range i {
 		e := s.entries[j]
 		own := s.entries[i]
-		if !e.dead || t-time.Duration(own.reports[s.name(j)].At.Sub(s.start)) < 2*time.Second {
+		if !e.dead || t-own.reports[s.name(j)].At.Sub(s.start) < 2*time.Second {
 			rank++
 		}
 	}
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -23,8 +23,12 @@
 	// suspectChance is the one below which no step up is made, for the counts of all routes.
 	// suspectRouteChance replaces it for one route and for the short window: there are many
 	// of them, and each would be suspect at times.
-	suspectChance      = 0.03
+	suspectChance      = 0.02
 	suspectRouteChance = 0.003
+	// priorShare is the old version's share while it has no answers to tell; it counts like
+	// priorAnswers of them.
+	priorShare   = 0.05
+	priorAnswers = 5
 	// minFaults is the least number of faults of a bad version, and minSuspectFaults of one
 	// that is suspect, with the worst server's replaced by the mean of the others.
 	minFaults        = 4
@@ -112,17 +116,23 @@
 func failed(c Counts) uint32 { return c.Failed }
 func slow(c Counts) uint32   { return c.Slow }
 
-// oldShare returns the old version's share of failed or slow answers in a window, or since
-// the order if it has few answers in the window.
+// oldShare returns the old version's share of failed or slow answers: in a window or since
+// the order, whichever is more. A window holds few answers, and may hold no failure by
+// chance.
 func (r *Rollout) oldShare(window Counts, route string, kind func(Counts) uint32) float64 {
+	var whole Counts
+	if route == "" {
+		whole = r.sum.totals().Old
+	} else if counts := r.sum.Routes[route]; counts != nil {
+		whole = counts.Old
+	}
+	share := func(c Counts) float64 {
+		return (float64(kind(c)) + priorShare*priorAnswers) / (float64(c.Answers) + priorAnswers)
+	}
 	if window.Answers < minOldTimes {
-		if route == "" {
-			window = r.sum.totals().Old
-		} else if whole := r.sum.Routes[route]; whole != nil {
-			window = whole.Old
-		}
+		return share(whole)
 	}
-	return (float64(kind(window)) + 0.5) / (float64(window.Answers) + 1)
+	return max(share(window), share(whole))
 }
 
 // judge tells how likely a sound version has so many faults among its answers.
--- a/fake/backend/backend.go
+++ b/fake/backend/backend.go
@@ -30,6 +30,11 @@
 	EventInterval time.Duration
 	// Room is the maximum number of results held.
 	Room int
+	// Version is the version in the server's record; empty for none.
+	Version string
+	// FailEach makes each request with a number that it divides fail with status 500; 0 for
+	// none.
+	FailEach int
 }
 
 // Fault is a fault injected into one request.
@@ -326,6 +331,8 @@
 	fault := FaultNone
 	if len(s.faults) > 0 {
 		fault, s.faults = s.faults[0], s.faults[1:]
+	} else if s.opts.FailEach > 0 && (len(s.arrivals)+1)%s.opts.FailEach == 0 {
+		fault = FaultError
 	}
 	if inputs := r.Header.Get("Inputs"); inputs != "" {
 		s.checkInputs(r.Header.Get("Request-Id"), strings.Split(inputs, ","))
--- a/testscripts/gateway_test.go
+++ b/testscripts/gateway_test.go
@@ -48,6 +48,8 @@
 	revocationTimeout time.Duration
 	// memory is the maximum memory of a gateway in MB; 0 for gatewayMemory.
 	memory int
+	// settings is added to each gateway's settings.
+	settings string
 }
 
 // gatewayMemory is the maximum memory of a gateway in MB unless a test sets another.
@@ -163,7 +165,11 @@
 // putBackendRecordBorn writes the record of a backend server that started at the given time
 // in Unix milliseconds.
 func (g *gatewaySite) putBackendRecordBorn(id, pool string, opts backend.Options, state string, born int64) {
-	record, err := json.Marshal(map[string]any{"service": pool, "addr": opts.Addr, "zone": "a", "slots": opts.Slots, "state": state, "cold_left_ms": 0, "seq": 1, "born": born})
+	fields := map[string]any{"service": pool, "addr": opts.Addr, "zone": "a", "slots": opts.Slots, "state": state, "cold_left_ms": 0, "seq": 1, "born": born}
+	if opts.Version != "" {
+		fields["version"] = opts.Version
+	}
+	record, err := json.Marshal(fields)
 	qt.Assert(g.t, err, qt.IsNil)
 	g.store.Put("keyed.servers", id, record)
 }
@@ -183,7 +189,7 @@
 	p.configPath = filepath.Join(g.dir, fmt.Sprintf("gateway-%d.ini", i))
 	p.logPath = filepath.Join(g.dir, fmt.Sprintf("gateway-%d.log", i))
 	text := fmt.Sprintf("name = e%d\ndomain = a\naddr = %s\nready = %s\npeers = %s\nreach = %s\nstore = %s\ngrace = 5s\nextra = 50\nrevoke = %s\nmemory = %d\n",
-		i, addrs[0], addrs[1], addrs[2], g.addProxy(addrs[2]), g.addProxy(g.storeAddr), g.revocationTimeout, cmp.Or(g.memory, gatewayMemory))
+		i, addrs[0], addrs[1], addrs[2], g.addProxy(addrs[2]), g.addProxy(g.storeAddr), g.revocationTimeout, cmp.Or(g.memory, gatewayMemory)) + g.settings
 	qt.Assert(g.t, os.WriteFile(p.configPath, []byte(text), 0o600), qt.IsNil)
 	g.startProcess(p)
 	g.procs = append(g.procs, p)
