--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// load describes the days's load and faults of one run.
+// load describes the load and the faults of one run.
 type load struct {
 	entries  int
 	rate     float64
@@ -68,9 +68,10 @@
 	oldFails float64
 	// brokenServer makes one of the new servers fail everything.
 	brokenServer bool
-	// perEntryRead is the age of what an entry can't read any more: for these entries
-	// nothing is read from halfway on.
+	// blind is the number of entries that read nothing from halfway on.
 	blind int
+	// alike sends requests to the servers of both versions alike, as without the decision.
+	alike bool
 }
 
 type request struct {
@@ -312,6 +313,9 @@
 			if side == rollout.SideNew && s.targets != nil && s.targets(t) == 0 {
 				side = rollout.SideOld
 			}
+			if s.alike {
+				side = rollout.Side(s.random.IntN(2))
+			}
 			e.r.Sent(side, 1)
 		}
 		s.send(i, side, t)
@@ -435,6 +439,19 @@
 	return 1
 }
 
+// TestExposure compares what a version that fails from the start gets without and with the
+// decision.
+func TestExposure(t *testing.T) {
+	c := qt.New(t)
+	l := load{version: failing(0.3, always), entries: 30, rate: 120, duration: 12 * time.Second, servers: 6, alike: true}
+	without := run(l, 1)
+	l.alike = false
+	with := run(l, 1)
+	t.Logf("without: %d of %d; with: %d of %d, allowed %.0f", without.exposed, without.requests, with.exposed, with.requests, with.allowed())
+	c.Assert(float64(without.exposed) > without.allowed(), qt.IsTrue)
+	c.Assert(float64(with.exposed) < with.allowed()/4, qt.IsTrue)
+}
+
 func check(t *testing.T, l load, r result) {
 	t.Helper()
 	c := qt.New(t)
