--- a/core/pool/versions.go
+++ b/core/pool/versions.go
@@ -21,7 +21,8 @@
 	// to what is usual for such a request; zero if that is unknown.
 	FirstByte(pool, route string, server sequoialead.Server, took time.Duration, units int)
 	// Ended records that a request has ended, with a number of failed answers, and that
-	// many answers more than FirstByte has told of.
+	// many answers more than FirstByte has told of. Without units, it did not reach the
+	// server.
 	Ended(pool, route string, server sequoialead.Server, units, answers, failures int)
 }
 
@@ -36,6 +37,8 @@
 	// counts as one that took that long. Callers give up shortly after their deadline, so
 	// the slowest answers never come.
 	minAbandonedTime = 250 * time.Millisecond
+	// maxUnsentTime is the time within which a place is released if nothing was sent.
+	maxUnsentTime = time.Millisecond
 )
 
 // mayServe reports whether a backend server has a version that the current request may go
@@ -102,6 +105,8 @@
 	}
 	units, answers, failures := max(place.Units, 1), 0, 0
 	switch {
+	case end == EndUnreachable, end == EndAbandoned && now.Sub(place.start) < maxUnsentTime:
+		units = 0
 	case end == EndFailed && place.firstByteRecorded:
 		failures = units
 	case end == EndFailed:
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -545,6 +545,17 @@
 	}
 }
 
+// Unsent takes back what Sent has recorded of a request that did not reach the server.
+func (r *Rollout) Unsent(side Side) {
+	r.credit -= r.share
+	if side == SideNew {
+		r.credit++
+		r.own.SentNew = less(r.own.SentNew, 1)
+	} else {
+		r.own.SentOld = less(r.own.SentOld, 1)
+	}
+}
+
 // AddUnits records that what was counted as one request consists of more pieces.
 func (r *Rollout) AddUnits(side Side, units int) {
 	if units <= 0 {
--- a/core/versions/versions.go
+++ b/core/versions/versions.go
@@ -486,7 +486,7 @@
 	}
 }
 
-// Ended records that a request has ended.
+// Ended records that a request has ended; without units, that it did not reach the server.
 func (v *Versions) Ended(name, route string, server sequoialead.Server, units, answers, failures int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -500,6 +500,10 @@
 		return
 	}
 	side := sideOf(r, server)
+	if units == 0 {
+		r.Unsent(side)
+		return
+	}
 	r.AddUnits(side, units-1)
 	r.Ended(side, route, server.ID, answers, failures)
 	if side == rollout.SideNew && failures > 0 {
