testscripts: Roll out a stage pool too

Cause: pieces count like requests, which no real process had shown. Change: TestGatewayRollsOut runs a good and a bad version of a plain and of a stage pool.

--- a/fake/backend/backend.go
+++ b/fake/backend/backend.go
@@ -32,8 +32,8 @@
 	Room int
 	// Version is the version in the server's record; empty for none.
 	Version string
-	// FailEach makes each request with a number that it divides fail with status 500; 0 for
-	// none.
+	// FailEach makes each request, or call for pieces, with a number that it divides fail
+	// with status 500; 0 for none.
 	FailEach int
 }
 
@@ -379,6 +379,11 @@
 	}
 	s.mu.Lock()
 	s.pieceCalls++
+	if s.opts.FailEach > 0 && s.pieceCalls%s.opts.FailEach == 0 {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	for _, i := range call.Items {
 		s.checkInputs(i.ID, i.Inputs)
 		if len(s.results) >= s.opts.Room || (i.Key == "") == (len(i.Inputs) == 0) {
--- a/testscripts/rollout_test.go
+++ b/testscripts/rollout_test.go
@@ -28,37 +28,55 @@
 		share    = 0.1
 		slack    = 50
 	)
+	desk, encode := backend.Options{Slots: 4}, backend.Options{Slots: 1, Room: 100, ServiceTime: 20 * time.Millisecond}
 	tests := []struct {
 		desc     string
+		pool     string
+		opts     backend.Options
+		old      []string
 		failEach int
 		state    string
 	}{
-		{"good", 0, "completed"},
-		{"bad", 2, "rolled_back"},
+		{"good", "desk", desk, []string{"desk-1", "desk-2"}, 0, "completed"},
+		{"bad", "desk", desk, []string{"desk-1", "desk-2"}, 2, "rolled_back"},
+		{"good stage", "encode", encode, []string{"encode-1", "encode-2"}, 0, "completed"},
+		{"bad stage", "encode", encode, []string{"encode-1", "encode-2"}, 2, "rolled_back"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
 			c := qt.New(t)
 			g := startGateways(t, &gatewaySite{revocationTimeout: 5 * time.Second, settings: fmt.Sprintf("expose = %g\nexposeslack = %d\nrollback = 5s\n", share, slack)}, 2)
-			for _, id := range []string{"desk-1", "desk-2"} {
+			g.addBackend("encode-2", "encode", encode)
+			for _, id := range tt.old {
 				opts := g.backendOptions[id]
 				opts.Version = "v1"
-				g.putBackendRecord(id, "desk", opts, "ready")
+				g.putBackendRecord(id, tt.pool, opts, "ready")
+			}
+			send := func(p *gatewayProcess, id string) {
+				if tt.pool == "desk" {
+					g.sendRequest(p, "GET", "/check/", id, "k1")
+				} else {
+					g.sendRequest(p, "POST", "/draft/x", id, "k1")
+				}
 			}
 			for _, p := range g.procs {
-				g.sendRequest(p, "GET", "/check/", "before"+fmt.Sprint(p.index), "k1")
+				send(p, "before"+fmt.Sprint(p.index))
 			}
 			arrived := func(ids ...string) (n int) {
 				for _, id := range ids {
-					n += len(g.backends[id].Arrivals())
+					n += len(g.backends[id].Arrivals()) + g.backends[id].PieceCalls()
 				}
 				return n
 			}
-			old := arrived("desk-1", "desk-2")
-			for _, id := range []string{"desk-3", "desk-4"} {
-				g.addBackend(id, "desk", backend.Options{Slots: 4, Version: "v2", FailEach: tt.failEach})
+			arrivedOld := func() int { return arrived(tt.old...) }
+			arrivedNew := func() int { return arrived("new-1", "new-2") }
+			old := arrivedOld()
+			for _, id := range []string{"new-1", "new-2"} {
+				opts := tt.opts
+				opts.Version, opts.FailEach = "v2", tt.failEach
+				g.addBackend(id, tt.pool, opts)
 			}
-			g.store.Put("keyed.op", "rollout/desk", fmt.Appendf(nil, `{"service":"desk","target":"v2","duration_s":%g}`, duration.Seconds()))
+			g.store.Put("keyed.op", "rollout/"+tt.pool, fmt.Appendf(nil, `{"service":%q,"target":"v2","duration_s":%g}`, tt.pool, duration.Seconds()))
 			ordered := time.Now()
 
 			stop := make(chan struct{})
@@ -73,35 +91,35 @@
 							return
 						case <-time.After(60 * time.Millisecond):
 						}
-						g.sendRequest(g.procs[i%2], "GET", "/check/", fmt.Sprintf("r%d-%d", i, n), "k1")
+						send(g.procs[i%2], fmt.Sprintf("r%d-%d", i, n))
 					}
 				})
 			}
 
 			final := func() bool {
-				target, state := g.rolloutState("desk")
+				target, state := g.rolloutState(tt.pool)
 				return target == "v2" && (state == "completed" || state == "rolled_back")
 			}
 			g.waitFor("the order is decided", final)
 			took := time.Since(ordered)
-			_, state := g.rolloutState("desk")
+			_, state := g.rolloutState(tt.pool)
 			c.Assert(state, qt.Equals, tt.state)
-			c.Logf("%s after %s: %d requests at the new servers, %d at the old ones", state, took, arrived("desk-3", "desk-4"), arrived("desk-1", "desk-2")-old)
+			c.Logf("%s after %s: %d requests at the new servers, %d at the old ones", state, took, arrivedNew(), arrivedOld()-old)
 			c.Assert(took < duration, qt.IsTrue, qt.Commentf("%s", took))
 			time.Sleep(1200 * time.Millisecond) // both gateways read the final state
-			before := map[string]int{"new": arrived("desk-3", "desk-4"), "old": arrived("desk-1", "desk-2")}
+			before := map[string]int{"new": arrivedNew(), "old": arrivedOld()}
 			time.Sleep(time.Second)
 			if tt.state == "completed" {
-				c.Assert(arrived("desk-1", "desk-2"), qt.Equals, before["old"])
-				c.Assert(arrived("desk-3", "desk-4") > before["new"], qt.IsTrue)
+				c.Assert(arrivedOld(), qt.Equals, before["old"])
+				c.Assert(arrivedNew() > before["new"], qt.IsTrue)
 			} else {
-				c.Assert(arrived("desk-3", "desk-4"), qt.Equals, before["new"])
-				c.Assert(arrived("desk-1", "desk-2") > before["old"], qt.IsTrue)
+				c.Assert(arrivedNew(), qt.Equals, before["new"])
+				c.Assert(arrivedOld() > before["old"], qt.IsTrue)
 				all := before["new"] + before["old"] - old
 				c.Assert(float64(before["new"]) <= share*float64(all)+slack, qt.IsTrue, qt.Commentf("%d of %d", before["new"], all))
 			}
 			finals := 0
-			for _, raw := range g.store.Values("keyed.status", "rollout/desk") {
+			for _, raw := range g.store.Values("keyed.status", "rollout/"+tt.pool) {
 				var status struct{ State string }
 				c.Assert(json.Unmarshal(raw, &status), qt.IsNil)
 				if status.State != "running" {
