--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -53,7 +53,12 @@
 	balance   bool
 	// placement selects model engines by the predicted time to the first token.
 	placement bool
-	level     int
+	// expose and exposeslack bound the requests that a bad version gets in a roll-out. With
+	// expose 0, orders of roll-outs are ignored.
+	expose      float64
+	exposeslack float64
+	rollback    time.Duration
+	level       int
 }
 
 // Defaults of a gateway's settings. They are to be overridden with the values of the
@@ -71,6 +76,7 @@
 	defaultRetryWindow    = 10 * time.Second
 	defaultColdOver       = 1.0
 	defaultGatewayHold    = 5 * time.Minute
+	defaultRollback       = 5 * time.Second
 )
 
 func (s *gatewaySettings) bind(flags *flag.FlagSet) {
@@ -107,6 +113,9 @@
 	flags.BoolVar(&s.admission, "admission", false, "admit requests, and end them, by a prediction for their whole path, and tell refused callers when a place is likely")
 	flags.BoolVar(&s.balance, "balance", false, "whether pieces of stages are made wherever they are made soonest, and what is of no use any more is withdrawn")
 	flags.BoolVar(&s.placement, "placement", false, "choose model engines by the predicted time to the first token")
+	optionalFloat(flags, &s.expose, "expose", "the part of a service's requests that a bad version may get in a roll-out, over all entries, such as 0.1; orders of roll-outs are ignored if it is 0")
+	optionalFloat(flags, &s.exposeslack, "exposeslack", "the number of requests that a bad version may get in addition to expose, such as 50")
+	optionalDuration(flags, &s.rollback, "rollback", defaultRollback, "the time within which a bad version gets no more requests, such as 5s")
 	flags.IntVar(&s.level, "level", 0, "the verbosity of the log, from 0")
 }
 
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -305,6 +305,7 @@
 			b.rooms.reserve(q.name, place.Server.ID, p.piece.Bytes)
 		}
 		q.times.Advance(q.state(now, max(led, 1)))
+		place.Units = len(c.batch)
 		q.inFlight++
 		q.startedAt = now
 		q.recordTurns(c.batch, conf.Pieces.MaxBatch)
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -39,7 +39,7 @@
 	if f.opts.Admission {
 		until = earlier(until, f.lastSendAt(j))
 	}
-	request := pool.Request{Prompt: j.request.Prompt, Exclude: j.tried}
+	request := pool.Request{Prompt: j.request.Prompt, Exclude: j.tried, Route: j.route.Name}
 	var w *waitqueue.Ticket[waiter]
 	recorded := false
 	defer func() { f.removeWaiter(w) }()
--- a/core/pool/engines.go
+++ b/core/pool/engines.go
@@ -212,6 +212,9 @@
 	homes := p.engines.plan.homes
 	var scores [placement.MaxHomes]uint64
 	for _, m := range p.members {
+		if !p.mayServe(m) {
+			continue
+		}
 		score := mix(m.hash ^ part)
 		if len(homes) == n && score <= scores[n-1] {
 			continue
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -34,6 +34,8 @@
 	Entry string
 	// Placement selects model engines by the predicted time to the first token.
 	Placement bool
+	// Versions is nil if servers of all versions get requests alike.
+	Versions Versions
 }
 
 // Limits holds the limits that apply to all entries together and may change while
@@ -61,6 +63,8 @@
 	Domain string
 	// Left is the time within which the first event of the answer is on time; 0 if unknown.
 	Left time.Duration
+	// Route is the name of the request's route; empty for a call that serves several.
+	Route string
 	// HasCapacity reports whether a backend server has capacity for the request; nil
 	// if no such check is needed. The argument led is set if this entry leads the
 	// server.
@@ -102,10 +106,15 @@
 	ownPending int
 	// size is the number of tokens of the request and its answer. predictedRead is the time
 	// in seconds that a typical engine takes to read, and otherTime the rest of Predicted.
-	size              float64
-	predictedRead     float64
-	otherTime         float64
-	loadRecorded      bool
+	size          float64
+	predictedRead float64
+	otherTime     float64
+	loadRecorded  bool
+	// Units is the number of pieces that a call is for; 0 counts as one. FailedUnits is the
+	// number of those that an answered call did not make because the server failed.
+	Units             int
+	FailedUnits       int
+	route             string
 	member            *member
 	tokens            int
 	start             time.Time
@@ -168,6 +177,9 @@
 	// needVariance its variance, over the number needs.
 	meanNeed, needVariance float64
 	needs                  int
+	// version is the filter of the versions that the current request may go to; nil for
+	// all.
+	version func(version string) bool
 	// firstByte predicts the time to the first byte of an answer.
 	firstByte regression
 	// engines is nil without Options.Placement.
@@ -239,6 +251,10 @@
 // HomeDomain returns the failure domain of the backend server that a prompt's
 // shared parts are assigned to; empty if there is none.
 func (p *Pool) HomeDomain(prompt sequoialead.Prompt) string {
+	if p.opts.Versions != nil {
+		p.version = p.opts.Versions.Leading(p.opts.Name)
+		defer func() { p.version = nil }()
+	}
 	home := p.home(prompt)
 	for _, m := range p.members {
 		if home != 0 && m.hash == home {
@@ -316,17 +332,11 @@
 
 // Acquire returns a place for a request, or the reason why there is none now.
 func (p *Pool) Acquire(request Request, now time.Time) (*Place, sequoialead.Reason) {
-	home := uint64(0)
-	if p.placesByTime() {
-		p.prepare(request, cmp.Or(request.Domain, p.opts.Domain), now)
-	} else {
-		home = p.home(request.Prompt)
-	}
-	best, reason := p.choose(request, home, now)
+	best, home, reason := p.chooseVersion(request, now)
 	if best == nil {
 		return nil, reason
 	}
-	place := &Place{Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, ownPending: best.pendingTokens, AtHome: best.hash == home, pace: best.paceAtStart(now), member: best, start: now}
+	place := &Place{route: request.Route, Server: best.Server, Led: p.led[best.Server.ID], PendingTokens: best.pendingTokens, ownPending: best.pendingTokens, AtHome: best.hash == home, pace: best.paceAtStart(now), member: best, start: now}
 	switch {
 	case p.placesByTime():
 		p.recordEngineSend(place)
@@ -343,6 +353,7 @@
 	best.inFlight++
 	best.sentSince++
 	best.state.RecordSent(now)
+	p.recordVersionSent(place)
 	return place, ""
 }
 
@@ -370,7 +381,7 @@
 	}
 	byTime := p.placesByTime()
 	for _, m := range p.members {
-		if request.Exclude[m.Server.ID] {
+		if !p.mayServe(m) || request.Exclude[m.Server.ID] {
 			continue
 		}
 		if p.opts.Limits.Outlier && !all {
