--- a/commands/commands.go
+++ b/commands/commands.go
@@ -122,6 +122,7 @@
 		newExplain(deps),
 		newKey(deps),
 		newSettings(deps),
+		newConfig(deps),
 		newFake(deps),
 	}
 	root.Subcommands = append(root.Subcommands, newCompletion(deps, root))
