--- a/commands/commands.go
+++ b/commands/commands.go
@@ -53,7 +53,8 @@
 	}
 	root := newRoot(deps)
 	err := root.Parse(args)
-	if err == nil {
+	parsed := err == nil
+	if parsed {
 		err = root.Run(ctx)
 	}
 	if err == nil {
@@ -66,7 +67,10 @@
 		return ExitUsage
 	}
 	fmt.Fprintf(deps.Stderr, "sequoialead: %s\n", errorText(err))
-	return exitCode(err)
+	if code := exitCode(err); parsed || code != ExitFailed {
+		return code
+	}
+	return ExitUsage // an unknown flag or an invalid value of one
 }
 
 // errorText returns an error's text without the names of the error types that
--- a/commands/configcheck.go
+++ b/commands/configcheck.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"sequoialead"
@@ -21,6 +22,8 @@
 // for it, and a store that needs longer is not in a state to write to either.
 const storeReadTimeout = 5 * time.Second
 
+const storeReadTries = 3
+
 func newConfig(deps Deps) *ffcli.Command {
 	return &ffcli.Command{
 		Name:        "config",
@@ -152,7 +155,9 @@
 	defer cancel()
 	client := http1.New(http1.Options{ConnectTimeout: connectTimeout, AckTimeout: ackTimeout, IdleTimeout: idleConnTimeout})
 	defer func() { _ = client.Close() }() // there are no requests left to fail
-	page, err := platform.NewStore(client, addr).Newest(ctx, sequoialead.TopicOperator)
+	page, err := backoff.Retry(ctx, func() (sequoialead.Page, error) {
+		return platform.NewStore(client, addr).Newest(ctx, sequoialead.TopicOperator)
+	}, backoff.WithMaxTries(storeReadTries))
 	if err != nil {
 		return nil, sequoialead.ErrSettings.Wrap(err, "--store %s cannot be read", addr)
 	}
--- a/core/configcheck/configcheck.go
+++ b/core/configcheck/configcheck.go
@@ -37,7 +37,7 @@
 
 func sortFindings(findings []Finding) []Finding {
 	slices.SortStableFunc(findings, func(a, b Finding) int {
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), cmp.Compare(a.Code, b.Code))
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), cmp.Compare(a.Severity, b.Severity), cmp.Compare(a.Code, b.Code))
 	})
 	return findings
 }
--- a/testscripts/main_test.go
+++ b/testscripts/main_test.go
@@ -29,7 +29,7 @@
 }
 
 func TestCommands(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "cli"})
+	testscript.Run(t, testscript.Params{Dir: "cli", Cmds: storeCommands()})
 }
 
 // maxParallelFleets is the number of fleets that may run at the same time.
