--- a/core/configcheck/configcheck_test.go
+++ b/core/configcheck/configcheck_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	qt "github.com/frankban/quicktest"
 
@@ -263,3 +264,28 @@
 		})
 	}
 }
+
+// Columns are found by blocks of bytes. On a long line with characters of several bytes,
+// each must be that of its field.
+func TestPlacesOnLongLine(t *testing.T) {
+	c := qt.New(t)
+	var text strings.Builder
+	text.WriteString("{\"version\":1,\"routes\":[],\"tenants\":[\n")
+	want := []int{}
+	column := 1
+	for i := range 300 {
+		item := fmt.Sprintf(`{"name":"mā€nuka%d","api_keys":["k%d"],"x":1},`, i, i)
+		want = append(want, column+utf8.RuneCountInString(item[:strings.Index(item, `"x"`)]))
+		column += utf8.RuneCountInString(item)
+		text.WriteString(item)
+	}
+	text.WriteString(`{"name":"last","api_keys":["k"]}]}`)
+	got := []int{}
+	for _, f := range configcheck.Check(platform.Decoder{}.Source([]byte(text.String()))) {
+		if f.Code == "unknown" {
+			c.Assert(f.Line, qt.Equals, 2)
+			got = append(got, f.Column)
+		}
+	}
+	c.Assert(got, qt.DeepEquals, want)
+}
