--- a/core/pool/engines.go
+++ b/core/pool/engines.go
@@ -274,7 +274,7 @@
 		Read:     min(max(float64(plan.prompt.Input)-held, 0), float64(p.conf.MemoryTokens)),
 		InFlight: float64(m.inFlight) + others,
 		Slots:    float64(p.conf.Slots),
-		Pace:     m.engine.pace.Factor(plan.now),
+		Pace:     m.engine.pace.Factor(plan.now) * m.pace.At(plan.now),
 		Failures: m.failureRate,
 		Distant:  m.Server.Domain != plan.domain,
 	}
@@ -333,8 +333,9 @@
 		e.diverted += meanWeight * (away - e.diverted)
 	}
 	place.size = min(max(float64(e.plan.prompt.Input)+float64(e.plan.prompt.Output), 1), float64(p.conf.MemoryTokens))
-	place.predictedRead = (c.Pending + c.Read) * e.plan.model.TokenTime
-	place.otherTime = place.Predicted.Seconds() - place.predictedRead*c.Pace
+	place.machine = m.pace.At(e.plan.now)
+	place.predictedRead = (c.Pending + c.Read) * e.plan.model.TokenTime * place.machine
+	place.otherTime = place.Predicted.Seconds() - place.predictedRead*m.engine.pace.Factor(e.plan.now)
 	others := float64(p.entries - 1)
 	m.engine.read += c.Read * (1 + othersKnown*others)
 	e.background += c.Read * (1 - othersKnown) * e.plan.perEngine
@@ -362,7 +363,7 @@
 	tokens := float64(place.tokens + place.PendingTokens)
 	reading := place.Took.Seconds() - place.otherTime
 	m.engine.pace.Observe(tokens, reading, place.predictedRead, now)
-	e.speed.Observe(tokens*m.engine.pace.Factor(now), place.Took.Seconds())
+	e.speed.Observe(tokens*place.machine*m.engine.pace.Factor(now), place.Took.Seconds())
 }
 
 // recordEngineEnd records that a request has ended.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -108,8 +108,10 @@
 	// in seconds that a typical engine takes to read, and otherTime the rest of Predicted.
 	size          float64
 	predictedRead float64
-	otherTime     float64
-	loadRecorded  bool
+	// machine is the factor of the engine's machine when the request was sent.
+	machine      float64
+	otherTime    float64
+	loadRecorded bool
 	// Units is the number of pieces that a call is for; 0 counts as one. FailedUnits is the
 	// number of those that an answered call did not make because the server failed.
 	Units             int
