--- a/core/batch/call.go
+++ b/core/batch/call.go
@@ -92,7 +92,9 @@
 		b.requeueRefused(c, load, err)
 		return
 	}
-	c.q.contention.RecordAnswer(c.place.Server.ID, float64(duration)/float64(max(calltime.Configured(c.conf.Pieces, float64(len(c.batch))), 1)), load, now)
+	if err == nil {
+		c.q.contention.RecordAnswer(c.place.Server.ID, float64(duration)/float64(max(calltime.Configured(c.conf.Pieces, float64(len(c.batch))), 1)), load, now)
+	}
 	withoutRoom := 0
 	server, room := c.place.Server, c.conf.Pieces.RoomBytes
 	retryGranted := map[*pendingOrder]bool{}
@@ -142,6 +144,10 @@
 		if o.abandoned || o.ended {
 			continue
 		}
+		if b.handingOver {
+			o.fail(sequoialead.ReasonLeaving) // the next leader makes it
+			continue
+		}
 		c.q.requeue(p)
 		o.awaitsRetry = true
 		o.started = o.started && len(o.pending) < len(o.order.Pieces)
--- a/core/callerbudget/callerbudget.go
+++ b/core/callerbudget/callerbudget.go
@@ -71,8 +71,9 @@
 // TimeLimits are the times after which a connection ends also while there is room. 0 is no
 // limit.
 type TimeLimits struct {
-	// Idle is how long a connection may go without a request, and Head how long the head of
-	// a request may take from its first byte.
+	// New is how long a connection may go without its first request, Idle how long without
+	// another one, and Head how long the head of a request may take from its first byte.
+	New  time.Duration
 	Idle time.Duration
 	Head time.Duration
 	// BodyStall is how long nothing may arrive of a body. After BodyGrace a body must have
@@ -338,7 +339,7 @@
 // Overdue returns the connections that have exceeded a time limit. They don't count as closed.
 func (b *Budget[T]) Overdue(limits TimeLimits, now time.Duration) []*Holding[T] {
 	var overdue []*Holding[T]
-	for state, limit := range map[State]time.Duration{StateNew: limits.Idle, StateIdle: limits.Idle, StateHead: limits.Head, StateBody: limits.BodyStall} {
+	for state, limit := range map[State]time.Duration{StateNew: limits.New, StateIdle: limits.Idle, StateHead: limits.Head, StateBody: limits.BodyStall} {
 		for h := b.byState[state].first; h != nil && limit > 0; h = h.next {
 			if now-h.since <= limit {
 				break
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -183,8 +183,6 @@
 			return fmt.Sprintf("the call at agent %s ends with %s (%s); it may have run", f["server"], f["ending"], f["reason"])
 		}
 		return fmt.Sprintf("the answer of %s is lost; it may have run: %s", f["server"], f["err"])
-	case "server-lost":
-		return fmt.Sprintf("leaves %s: it is %s (nothing came for %s)", f["server"], f["cause"], roundDuration(f["limit"]))
 	case "answer-odd":
 		return fmt.Sprintf("the answer of %s is not acceptable (no stamp header, a content encoding, or an error status after part of the answer was passed on) and is treated as lost", f["server"])
 	case "answer-failed":
--- a/core/explain/summary.go
+++ b/core/explain/summary.go
@@ -185,8 +185,6 @@
 			return "its prompt has parts that have crashed backend servers"
 		case "hopeless":
 			return "the rest of its path did not fit before the deadline"
-		case "server-lost":
-			return fmt.Sprintf("its server was %s", f["cause"])
 		case "send-refused":
 			return "a server refused it without running it"
 		case "send-lost":
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -155,8 +155,6 @@
 	// waiting holds the requests that wait for a place.
 	waiting  *waitqueue.Queue[waiter]
 	inFlight int
-	// guards holds the attempts in flight, if Options.Admission is set.
-	guards map[*guard]bool
 	// comeback gives refused callers their turns. It is used only if Options.Admission is
 	// set.
 	comeback *comeback.Schedule
@@ -182,7 +180,6 @@
 // New returns a forwarder without backend servers; Refresh adds them.
 func New(opts Options) *Forwarder {
 	f := &Forwarder{opts: opts, metrics: recorder{set: opts.Metrics}, trails: requestlog.NewRecorder(opts.Log, opts.Now), pools: map[string]*pool.Pool{}, entries: 1}
-	f.guards = map[*guard]bool{}
 	f.waiting, f.comeback = waitqueue.New[waiter](), comeback.New(opts.Random)
 	f.admission, f.predictions = admission.New(opts.Random), map[admission.Key]*prediction{}
 	f.unsentCtx, f.cancelUnsent = context.WithCancel(context.Background())
@@ -302,7 +299,6 @@
 	if age, ok := f.opts.Knowledge.ServersLease().Age(now); ok {
 		read = now.Add(-age)
 	}
-	defer f.endReplaced()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.opts.Versions != nil {
--- a/core/forward/place.go
+++ b/core/forward/place.go
@@ -49,7 +49,7 @@
 		p := f.pool(j.pool)
 		request.Left = j.objectiveLeft(now)
 		reason := sequoialead.ReasonFull
-		if w != nil || !f.waiting.MustWait(j.pool, j.urgency, j.returning) {
+		if w == nil && !f.waiting.MustWait(j.pool, j.urgency, j.returning) || w != nil && (f.waiting.First(j.pool) == w || len(j.tried) > 0) {
 			var place *pool.Place
 			if place, reason = p.Acquire(request, now); place != nil {
 				f.waiting.Granted(j.pool, j.urgency, j.returning)
--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -136,8 +136,8 @@
 		return actionFail, sequoialead.ReasonTimeout
 	}
 	j.attempts++
-	attemptCtx, g := f.guardAttempt(ctx, j, place)
-	defer g.stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	fields := []any{"try", j.attempts, "server", place.Server.ID, "domain", place.Server.Domain, "left", left, "after", j.lastEventID,
 		"inputs", len(j.inputs), "pending", place.PendingTokens, "home", place.AtHome}
 	if place.Predicted > 0 {
@@ -146,12 +146,12 @@
 	j.trail.Add("send", fields...)
 	j.tried[place.Server.ID] = true
 	place.Source = j.source()
-	response, err := f.opts.Exchanger.Exchange(attemptCtx, sequoialead.ProxyAttempt{
+	response, err := f.opts.Exchanger.Exchange(ctx, sequoialead.ProxyAttempt{
 		Request: j.request, Server: place.Server, TimeLeft: left, Customer: j.customerName(), Urgency: j.urgency,
 		Inputs: handles(j.inputs), LastEventID: j.lastEventID, AvoidIdle: !j.route.Repeatable(),
 	})
 	if err != nil {
-		return f.handleError(ctx, j, place, g, err)
+		return f.handleError(ctx, j, place, err)
 	}
 	place.Reported = response.Load
 	f.recordNotice(j, place, response.Notice)
@@ -161,7 +161,7 @@
 		return actionRetry, f.handleRefusal(j, place, response)
 	}
 	j.mayHaveRun = true
-	end, action, reason := f.receive(ctx, j, place, g, response, sink)
+	end, action, reason := f.receive(ctx, j, place, response, sink)
 	if end == pool.EndFailed && ctx.Err() != nil {
 		end = interruptedEnd(ctx)
 	}
@@ -182,7 +182,7 @@
 }
 
 // handleError handles an attempt without an answer.
-func (f *Forwarder) handleError(ctx context.Context, j *job, place *pool.Place, g *guard, err error) (action, sequoialead.Reason) {
+func (f *Forwarder) handleError(ctx context.Context, j *job, place *pool.Place, err error) (action, sequoialead.Reason) {
 	unsent := errorx.IsOfType(err, sequoialead.ErrUnsent)
 	if !unsent {
 		j.mayHaveRun = true
@@ -198,9 +198,7 @@
 		return actionRetry, sequoialead.ReasonBackend
 	}
 	f.releasePlace(j, place, pool.EndFailed, nil)
-	if !g.isLost() {
-		f.recordCrash(j, place, false, err)
-	}
+	f.recordCrash(j, place, false, err)
 	if j.route.Repeatable() {
 		return actionRetry, sequoialead.ReasonBackend
 	}
@@ -221,7 +219,7 @@
 
 // receive passes an answer on to the caller, or decides that the request may be
 // retried.
-func (f *Forwarder) receive(ctx context.Context, j *job, place *pool.Place, g *guard, r *sequoialead.Response, sink Sink) (pool.End, action, sequoialead.Reason) {
+func (f *Forwarder) receive(ctx context.Context, j *job, place *pool.Place, r *sequoialead.Response, sink Sink) (pool.End, action, sequoialead.Reason) {
 	success := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
 	onFailure := actionFail
 	if j.route.Repeatable() {
@@ -232,9 +230,8 @@
 		return pool.EndFailed, onFailure, sequoialead.ReasonBackend
 	}
 	if success && j.route.Kind == proxyconfig.KindStream {
-		return f.stream(ctx, j, place, g, r, sink)
+		return f.stream(ctx, j, place, r, sink)
 	}
-	g.pause()
 	if r.Status >= http.StatusInternalServerError && onFailure == actionRetry && j.attempts < j.route.MaxAttempts {
 		discard(r.Body)
 		j.trail.Add("answer-failed", "server", place.Server.ID, "status", r.Status)
@@ -248,7 +245,7 @@
 	body, whole, err := readFirst(r, sink)
 	if err != nil {
 		j.trail.Add("answer-cut", "server", place.Server.ID, "bytes", len(body), "err", err)
-		if len(body) == 0 && !g.isLost() {
+		if len(body) == 0 {
 			f.recordCrash(j, place, true, err)
 		}
 		return pool.EndFailed, onFailure, sequoialead.ReasonBackend
@@ -374,7 +371,7 @@
 // events are passed on, so that another backend server can continue it. A stream that ends
 // inside an event was broken off, and so was one without any that ends with its connection. The
 // head is sent with the first complete event.
-func (f *Forwarder) stream(ctx context.Context, j *job, place *pool.Place, g *guard, r *sequoialead.Response, sink Sink) (pool.End, action, sequoialead.Reason) {
+func (f *Forwarder) stream(ctx context.Context, j *job, place *pool.Place, r *sequoialead.Response, sink Sink) (pool.End, action, sequoialead.Reason) {
 	splitter := sse.New()
 	hasEvents := isEventStream(r.Header)
 	buf := make([]byte, copyBufferBytes)
@@ -385,9 +382,7 @@
 	var held []byte // the start of the first event
 	defer func() { f.metrics.eventGap(longestGap) }()
 	for {
-		g.listen()
 		n, err := r.Body.Read(buf)
-		g.pause() // a caller that reads slowly doesn't make the server silent
 		now := f.opts.Now()
 		if !lastRead.IsZero() {
 			longestGap = max(longestGap, now.Sub(lastRead))
@@ -442,18 +437,18 @@
 			j.sendHead(r, sink)
 			return pool.EndDone, actionDone, ""
 		case err != nil && ctx.Err() != nil:
-			return pool.EndAbandoned, actionFail, sequoialead.ReasonCancelled
+			return interruptedEnd(ctx), actionFail, sequoialead.ReasonCancelled
 		case err != nil:
-			return pool.EndFailed, f.streamCut(j, place, g, received, err), sequoialead.ReasonBackend
+			return pool.EndFailed, f.streamCut(j, place, received, err), sequoialead.ReasonBackend
 		}
 	}
 }
 
 // streamCut handles a stream that was broken off after a number of bytes.
-func (f *Forwarder) streamCut(j *job, place *pool.Place, g *guard, received int, err error) action {
+func (f *Forwarder) streamCut(j *job, place *pool.Place, received int, err error) action {
 	j.trail.Add("stream-cut", "server", place.Server.ID, "started", place.Server.StartedAt, "bytes", received, "after", j.lastEventID, "resumable", j.route.Resumable,
 		"parts", j.request.Prompt.PartIDs(), "err", err)
-	if received == 0 && !g.isLost() {
+	if received == 0 {
 		f.recordCrash(j, place, true, err)
 	}
 	if j.route.Resumable {
--- a/core/pool/engines.go
+++ b/core/pool/engines.go
@@ -100,8 +100,6 @@
 	duration float64
 	size     float64
 	unread   float64
-	// diverted is the mean share of requests with shared parts that went to no home.
-	diverted float64
 	// updated is set once the engines were listed.
 	updated bool
 	plan    plan
@@ -115,8 +113,10 @@
 	prompt sequoialead.Prompt
 	domain string
 	now    time.Time
-	// shared is the number of the prompt's tokens that other prompts may share.
+	// shared is the number of the prompt's tokens that other prompts may share, and part the
+	// ID of the last part of them; zero if there is none.
 	shared float64
+	part   uint64
 	// homes holds the servers that the shared parts are assigned to, which are the first
 	// assigned ones, and the fallbacks. Of several homes, this entry prefers the one at
 	// preferred.
@@ -154,7 +154,9 @@
 
 // placesByTime reports whether placement decides: the pool is one of model engines, and the
 // setting is on.
-func (p *Pool) placesByTime() bool { return p.engines != nil && p.conf.Slots > 0 }
+func (p *Pool) placesByTime() bool {
+	return p.engines != nil && p.conf.Slots > 0 && p.conf.MemoryTokens > 0
+}
 
 // prepare plans the placement of a request.
 func (p *Pool) prepare(request Request, domain string, now time.Time) {
@@ -200,7 +202,7 @@
 	if e.plan.turnover < maxTurnover {
 		e.plan.model.Reuse = evictedReuse * asked(e.plan.uses)
 	}
-	e.demand.Record(id, max(float64(request.Prompt.Input)-e.plan.shared, 0)*perToken, now)
+	e.plan.part = id
 }
 
 // asked returns the probability of at least one request if the given number is expected.
@@ -325,17 +327,14 @@
 	place.Predicted = time.Duration(e.plan.model.FirstToken(c) * float64(time.Second))
 	place.PendingTokens = int(c.Pending)
 	place.AtHome = slices.Contains(e.plan.homes[:e.plan.assigned], m)
-	if e.plan.assigned > 0 {
-		away := 1.0
-		if place.AtHome {
-			away = 0
-		}
-		e.diverted += meanWeight * (away - e.diverted)
-	}
 	place.size = min(max(float64(e.plan.prompt.Input)+float64(e.plan.prompt.Output), 1), float64(p.conf.MemoryTokens))
 	place.machine = m.pace.At(e.plan.now)
 	place.predictedRead = (c.Pending + c.Read) * e.plan.model.TokenTime * place.machine
 	place.otherTime = place.Predicted.Seconds() - place.predictedRead*m.engine.pace.Factor(e.plan.now)
+	if e.plan.part != 0 {
+		own := max(float64(e.plan.prompt.Input)-e.plan.shared, 0)
+		e.demand.Record(e.plan.part, own*e.plan.model.TokenTime, e.plan.now)
+	}
 	others := float64(p.entries - 1)
 	m.engine.read += c.Read * (1 + othersKnown*others)
 	e.background += c.Read * (1 - othersKnown) * e.plan.perEngine
--- a/core/pool/versions.go
+++ b/core/pool/versions.go
@@ -23,7 +23,7 @@
 	FirstByte(pool, route string, server sequoialead.Server, took time.Duration, units int)
 	// Ended records that a request has ended, with a number of failed answers, and that
 	// many answers more than FirstByte has told of. Without units, it did not reach the
-	// server.
+	// server; a failure tells then that no connection could be opened.
 	Ended(pool, route string, server sequoialead.Server, units, answers, failures int)
 }
 
@@ -110,7 +110,9 @@
 	}
 	units, answers, failures := max(place.Units, 1), 0, 0
 	switch {
-	case end == EndUnreachable, end == EndAbandoned && now.Sub(place.start) < maxUnsentTime:
+	case end == EndUnreachable:
+		units, failures = 0, 1
+	case end == EndAbandoned && now.Sub(place.start) < maxUnsentTime:
 		units = 0
 	case end == EndFailed && place.firstByteRecorded:
 		failures = units
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -209,8 +209,10 @@
 	// confirmed is set while all entries have reported that nothing is at the old servers.
 	confirmed   bool
 	confirmedAt time.Time
-	// majority is set while most entries send everything to the new version.
+	// majority is set while most entries send everything to the new version, and visible while
+	// the reports of at least half of them are recent.
 	majority bool
+	visible  bool
 	// sum holds the numbers of all entries together, and history earlier ones.
 	sum      *Report
 	history  []sample
@@ -348,7 +350,8 @@
 	if confirmed && !r.confirmed {
 		r.confirmedAt = view.Now
 	}
-	r.confirmed, r.majority = confirmed, 2*ahead >= fresh
+	r.confirmed, r.majority = confirmed, 2*(ahead+1) > view.Entries
+	r.visible = 2*(fresh+1) >= view.Entries
 }
 
 // start is what the reports of an entry tell of the time of the order.
@@ -468,7 +471,7 @@
 
 // advance makes a step up if it is due and nothing speaks against it.
 func (r *Rollout) advance(now time.Time) {
-	if r.bad || r.suspect || !r.fresh || !r.serversReady() {
+	if r.bad || r.suspect || !r.fresh || !r.visible || !r.serversReady() {
 		return
 	}
 	switch {
@@ -651,5 +654,6 @@
 	if r.confirmed && !now.Before(r.confirmedAt.Add(loadedTime+delay)) {
 		return true
 	}
-	return r.majority && now.Sub(r.stepAt) >= closeLoadedTime && !now.Before(r.Deadline().Add(-closeTime+delay/maxRank))
+	closing := !now.Before(r.Deadline().Add(-closeTime+delay/maxRank)) && now.Before(r.Deadline().Add(closeTime))
+	return r.majority && now.Sub(r.stepAt) >= closeLoadedTime && closing
 }
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -152,6 +152,9 @@
 
 // tail returns the probability of at least k successes in n trials of probability p.
 func tail(n, k uint32, p float64) float64 {
+	if float64(k) <= float64(n)*p {
+		return 1 // no less likely than half, which is all that matters
+	}
 	logP, logQ := math.Log(p), math.Log1p(-p)
 	lg := func(x uint32) float64 {
 		v, _ := math.Lgamma(float64(x) + 1)
--- a/core/versions/versions.go
+++ b/core/versions/versions.go
@@ -502,6 +502,10 @@
 	side := sideOf(r, server)
 	if units == 0 {
 		r.Unsent(side)
+		if failures > 0 && side == rollout.SideNew {
+			r.Ended(side, route, server.ID, failures, failures) // it was not reached
+			v.markChanged()
+		}
 		return
 	}
 	r.AddUnits(side, units-1)
--- a/core/watch/rollouts.go
+++ b/core/watch/rollouts.go
@@ -55,7 +55,9 @@
 		w.opts.Log.Error(err, "record-skipped", "topic", sequoialead.TopicOperator, "key", item.Key, "offset", item.Offset)
 		return true
 	}
+	// After an outage of the store the last read says little of when the order was given.
 	age, known := w.lease.Age(now)
+	known = known && age <= 2*w.operatorInterval()+readTimeout
 	w.opts.Rollouts.ApplyOrder(pool, &order, now.Add(-age), known)
 	return true
 }
--- a/io/web/conn.go
+++ b/io/web/conn.go
@@ -283,10 +283,10 @@
 }
 
 // endOverdue ends connections that have exceeded a time limit.
-func (s *Server) endOverdue(maxIdle time.Duration) {
+func (s *Server) endOverdue(maxNew, maxIdle time.Duration) {
 	b := s.opts.Bounds
 	_, headTimeout := b.header()
-	limits := callerbudget.TimeLimits{Idle: maxIdle, Head: headTimeout + headTimeMargin, BodyStall: b.BodyStall, BodyGrace: b.BodyGrace, BodyRate: b.BodyRate}
+	limits := callerbudget.TimeLimits{New: maxNew, Idle: maxIdle, Head: headTimeout + headTimeMargin, BodyStall: b.BodyStall, BodyGrace: b.BodyGrace, BodyRate: b.BodyRate}
 	s.mu.Lock()
 	now := s.now()
 	var ended []*Conn
--- a/io/web/web.go
+++ b/io/web/web.go
@@ -184,10 +184,11 @@
 		if s.opts.IdleTimeout != nil {
 			maxIdle = s.opts.IdleTimeout()
 		}
+		maxNew := cmp.Or(max(maxIdle, 0), headerTimeout) // also while draining: the balancer still sends new clients
 		if since := s.leavingSince.Load(); since != nil && s.opts.IdleTimeout != nil && now.Sub(*since) > drainGrace {
-			maxIdle = leavingIdleTimeout
+			maxIdle = leavingIdleTimeout + sweepInterval // the clock may be behind by one sweep
 		}
-		s.endOverdue(maxIdle)
+		s.endOverdue(maxNew, maxIdle)
 		if now.Sub(logged) > logInterval {
 			known, logged = s.logChange(known), now
 		}
