forward: Tell a caller that left from a server that failed

Cause: of a large answer, an error of writing to the caller was returned like one of reading from the server, and counted against the server; found in review by reading. Change: copyRest tells which of the two it was. Result: the tests of core/forward pass; the case has no test of its own.

--- a/core/forward/send.go
+++ b/core/forward/send.go
@@ -264,7 +264,11 @@
 	if err := sink.Write(body); err != nil {
 		return pool.EndAbandoned, actionFail, sequoialead.ReasonCancelled
 	}
-	if err := copyRest(r, sink); err != nil {
+	callerLeft, err := copyRest(r, sink)
+	if callerLeft {
+		return pool.EndAbandoned, actionFail, sequoialead.ReasonCancelled
+	}
+	if err != nil {
 		j.trail.Add("answer-cut", "server", place.Server.ID, "err", err)
 		return pool.EndFailed, actionFail, sequoialead.ReasonBackend
 	}
@@ -312,21 +316,22 @@
 	}
 }
 
-// copyRest copies the part of a large answer that was not buffered.
-func copyRest(r *sequoialead.Response, sink Sink) error {
+// copyRest copies the part of a large answer that was not buffered. It reports whether the
+// caller left, which is no failure of the server.
+func copyRest(r *sequoialead.Response, sink Sink) (callerLeft bool, err error) {
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := r.Body.Read(buf)
 		if n > 0 {
 			if err := sink.Write(buf[:n]); err != nil {
-				return err
+				return true, err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return false, nil
 		}
 		if err != nil {
-			return err
+			return false, err
 		}
 	}
 }
