--- a/core/comeback/comeback.go
+++ b/core/comeback/comeback.go
@@ -16,8 +16,8 @@
 	// honoredShare is the part of its time left up to which a caller honors a hint.
 	honoredShare = 1.0 / 3
 	// firstAttemptShare is the part of its route's timeout below which the time that a
-	// caller waits shows an earlier attempt. Callers give a first attempt 0.85 to 1 of the
-	// timeout (seen on 3,700 requests of two days).
+	// caller waits shows an earlier attempt. Callers give a first attempt at least 0.85
+	// of the timeout.
 	firstAttemptShare = 0.84
 	// returnShare is the part of the served rate that is expected to be left for callers
 	// that come back. The rest goes to new ones.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -514,7 +514,7 @@
 		uncached -= min(uncached, float64(max(sharedTokens(request.Prompt)-m.cache.Cached(request.Prompt), 0)))
 	}
 	utilization := min(2*float64(running)/float64(p.conf.Slots), 1)
-	cost := m.slowness(now) * (uncached + float64(m.pendingTokens) + tokensPerRunning*utilization*float64(running) + tokensPerRunning*float64(waiting))
+	cost := m.speed(now) * (uncached + float64(m.pendingTokens) + tokensPerRunning*utilization*float64(running) + tokensPerRunning*float64(waiting))
 	cost += failurePenalty * tokensPerRunning * 10 * m.failureRate
 	if home != 0 && home != m.hash {
 		cost += duplicateShare * float64(sharedTokens(request.Prompt))
--- a/core/pool/speed.go
+++ b/core/pool/speed.go
@@ -40,16 +40,6 @@
 	return m.pace.At(now) * max(m.own.At(now)/ownTolerance, 1)
 }
 
-// usualSpread is the factor by which the times of sound engines of one pool differ. Prompts
-// stay with engines within it: leaving them costs the tokens that they have cached.
-const usualSpread = 2.0
-
-// slowness returns the factor on the cost of a model engine: that of its machine, and that by
-// which it is slower than sound engines are.
-func (m *member) slowness(now time.Time) float64 {
-	return m.pace.At(now) * max(m.own.At(now)/usualSpread, 1)
-}
-
 // paceDuring returns the factor of the server's machine during a request whose answer begins
 // now: the mean of that at its start, if it was known, and that at its end.
 func (place *Place) paceDuring(now time.Time) float64 {
