rollout: Send nothing to the old servers of a completed order

The old side stayed a second choice while the new servers were full, but the old ones stop then without draining. Change: for 30 s after the completion, the new servers are the only choice as long as there are any. Later the other versions are the second choice again, since they may have come without an order.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -130,6 +130,9 @@
 	// closeLoadedTime is the part of closeTime for which this entry must have sent
 	// everything to the new version.
 	closeLoadedTime = 300 * time.Millisecond
+	// stopTime is the time after which the old servers of a completed order are gone from the
+	// records. Other versions may come later without an order.
+	stopTime = 30 * time.Second
 	// suspectTime is how long a version must have been suspect to be taken for bad.
 	suspectTime = 500 * time.Millisecond
 	// countDelay is the usual age of the others' counts.
@@ -189,9 +192,11 @@
 	own  *Report
 	// statusRead is set once the status was read, which may tell that the order has ended.
 	statusRead bool
-	// state is the newest state of this order that was read.
-	state State
-	step  Step
+	// state is the newest state of this order that was read, and completedAt when it was read
+	// that the order is completed.
+	state       State
+	completedAt time.Time
+	step        Step
 	// stepAt is when the step began. halfAt and allAt are when the next ones are due.
 	stepAt time.Time
 	halfAt time.Time
@@ -280,6 +285,9 @@
 	r.statusRead = true
 	if target == r.opts.Target && !r.state.Final() {
 		r.state = state
+		if state == StateCompleted {
+			r.completedAt = r.now
+		}
 	}
 }
 
@@ -504,6 +512,8 @@
 	switch {
 	case r.state == StateRolledBack, r.bad:
 		return []Side{SideOld}
+	case r.state == StateCompleted && r.targets > 0 && r.now.Sub(r.completedAt) < stopTime:
+		return []Side{SideNew} // the old servers stop without draining, also if the new ones are full
 	case r.state == StateCompleted:
 		return []Side{SideNew, SideOld}
 	case !r.statusRead:
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -472,3 +472,22 @@
 	}
 	c.Check(final, qt.Equals, 1, qt.Commentf("%s", r))
 }
+
+// At completed the old servers stop without draining, so no request may go there while the new
+// ones are full.
+func TestCompletedOrderUsesNewServersAlone(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	r := rollout.New(rollout.Options{Entry: "e", Target: "v2", Duration: 12 * time.Second, Bounds: rollout.Bounds{Share: 0.1, Slack: 50}, StartedAt: start, StartKnown: true})
+	r.ReadStatus("v2", rollout.StateCompleted)
+	update := func(after time.Duration, targets int) {
+		r.Update(rollout.View{Now: start.Add(after), Fresh: true, Targets: targets, Others: 3, Entries: 1})
+	}
+	update(time.Second, 2)
+	c.Assert(r.Preference(false), qt.DeepEquals, []rollout.Side{rollout.SideNew})
+	c.Assert(r.Preference(true), qt.DeepEquals, []rollout.Side{rollout.SideNew})
+	update(2*time.Second, 0) // the new servers are lost
+	c.Assert(r.Preference(false), qt.DeepEquals, []rollout.Side{rollout.SideNew, rollout.SideOld})
+	update(time.Minute, 2) // a later version without an order
+	c.Assert(r.Preference(false), qt.DeepEquals, []rollout.Side{rollout.SideNew, rollout.SideOld})
+}
