--- a/review/_standins2/keys.go
+++ b/review/_standins2/keys.go
@@ -40,9 +40,7 @@
 	for i := range 3 {
 		gs = append(gs, r.startGateway(fmt.Sprintf("front-%d", i+1), []string{"akl-a", "akl-b"}[i%2]))
 	}
-	for _, g := range gs {
-		r.waitReady(g)
-	}
+	r.waitAllReady(gs)
 	time.Sleep(4 * time.Second)
 	letters := []string{"\xe9", "\xe8", "\xed", "\xfd"}
 	if !trouble {
--- a/review/_standins2/rig.go
+++ b/review/_standins2/rig.go
@@ -38,7 +38,7 @@
 
 // gateway is one process of the system.
 type gateway struct {
-	name                      string
+	name, zone                string
 	front, ready, peers, meta string
 	cmd                       *exec.Cmd
 	exited                    chan struct{}
@@ -61,11 +61,22 @@
 	seq      atomic.Int64
 }
 
+// current is the rig that runs; nil before it is made.
+var current *rig
+
+// fatal ends the case because it can't run.
 func fatal(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
+	if current != nil {
+		current.note(format, args...)
+		current.end(2)
+	}
 	os.Exit(2)
 }
 
+// used holds the ports that were given out.
+var used = map[int]bool{}
+
 // newRig starts the store. The record of the case is written to record.txt in its folder.
 func newRig(caseDir string) *rig {
 	dir, err := os.MkdirTemp("", "review2-")
@@ -77,6 +88,7 @@
 		fatal("no record: %v", err)
 	}
 	r := &rig{dir: dir, record: f, start: time.Now(), store: store.New()}
+	current = r
 	l := listen()
 	r.addr = l.Addr().String()
 	go func() { _ = http.Serve(l, r.store) }()
@@ -125,7 +137,12 @@
 // gives to outgoing connections.
 func freePort() string {
 	for range 1000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		port := 12000 + rand.IntN(18000)
+		if used[port] {
+			continue
+		}
+		used[port] = true
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		if l, err := net.Listen("tcp", addr); err == nil {
 			_ = l.Close()
 			return addr
@@ -138,9 +155,9 @@
 // startGateway starts a gateway with the command of the deploy file and settings like those that
 // the platform renders from its template on whiskerlane-nz.
 func (r *rig) startGateway(name, zone string) *gateway {
-	g := &gateway{name: name, front: freePort(), ready: freePort(), peers: freePort(), meta: freePort()}
+	g := &gateway{name: name, zone: zone, front: freePort(), ready: freePort(), peers: freePort(), meta: freePort()}
 	g.config = filepath.Join(r.dir, name+".ini")
-	g.log = filepath.Join(r.dir, name+".log")
+	g.log = filepath.Join(r.dir, fmt.Sprintf("%s-%d.log", name, len(r.procs)))
 	text := fmt.Sprintf("name = %s\ndomain = %s\naddr = %s\nready = %s\npeers = %s\nmetrics = %s\nstore = %s\n", name, zone, g.front, g.ready, g.peers, g.meta, r.addr) +
 		"memory = 284\ncpu = 0.304\nfiles = 4100\ngrace = 8s\napply = 2000ms\ndrain = 2000ms\nrevoke = 5000ms\nspread = 3000ms\nratio = 0.2\nextra = 56\nwindow = 10s\nover = 1.5\nslack = 5\noutlier = true\nbalance = true\nexpose = \nexposeslack = \nrollback = ms\n"
 	if level := os.Getenv("LEVEL"); level != "" {
@@ -154,6 +171,21 @@
 	return g
 }
 
+// waitAllReady waits until all gateways are ready. One that has ended, because another process
+// took one of its ports, is started with others.
+func (r *rig) waitAllReady(gs []*gateway) {
+	for i := range gs {
+		for !r.waitReady(gs[i]) {
+			raw, _ := os.ReadFile(gs[i].log)
+			r.note("%s has not started: %s", gs[i].name, strings.TrimSpace(string(raw)))
+			if len(r.procs) > len(gs)+3 {
+				fatal("%s does not start", gs[i].name)
+			}
+			gs[i] = r.startGateway(gs[i].name, gs[i].zone)
+		}
+	}
+}
+
 // run starts the process of a gateway.
 func (r *rig) run(g *gateway) {
 	out, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -177,20 +209,26 @@
 	r.note("%s is started (pid %d)", g.name, g.cmd.Process.Pid)
 }
 
-// waitReady waits until a gateway says that it is ready.
-func (r *rig) waitReady(g *gateway) {
+// waitReady waits until a gateway says that it is ready. It reports false if its process has ended.
+func (r *rig) waitReady(g *gateway) bool {
 	for range 1000 {
+		select {
+		case <-g.exited:
+			return false
+		default:
+		}
 		response, err := http.Get("http://" + g.ready + "/sequoialead/readyz")
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
 				r.note("%s is ready", g.name)
-				return
+				return true
 			}
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	fatal("%s is not ready", g.name)
+	return false
 }
 
 // addRunner starts a runner and registers it.
@@ -320,11 +358,16 @@
 
 // ask sends raw bytes on a new channel and reads one answer.
 func ask(addr, raw string, timeout time.Duration) reply {
-	started := time.Now()
 	conn, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		return reply{err: err}
 	}
+	return askOn(conn, raw, timeout)
+}
+
+// askOn sends raw bytes on a new channel, reads one answer and closes the channel.
+func askOn(conn net.Conn, raw string, timeout time.Duration) reply {
+	started := time.Now()
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(started.Add(timeout))
 	if _, err := io.WriteString(conn, raw); err != nil {
--- a/review/_standins2/room.go
+++ b/review/_standins2/room.go
@@ -55,9 +55,7 @@
 	for i := range roomGateways {
 		gs = append(gs, r.startGateway(fmt.Sprintf("front-%d", i+1), zones[i]))
 	}
-	for _, g := range gs {
-		r.waitReady(g)
-	}
+	r.waitAllReady(gs)
 	time.Sleep(4 * time.Second)
 	var n atomic.Int64
 	// load sends requests at all gateways for a time and returns the share that was served.
