--- a/review/_standins2/rig.go
+++ b/review/_standins2/rig.go
@@ -42,7 +42,6 @@
 	front, ready, peers, meta string
 	cmd                       *exec.Cmd
 	exited                    chan struct{}
-	state                     *os.ProcessState
 	log                       string
 	config                    string
 }
@@ -57,7 +56,6 @@
 	addr     string
 	listener net.Listener
 	handle   func(r *runner, w http.ResponseWriter, q *http.Request)
-	arrivals atomic.Int64
 	seq      atomic.Int64
 }
 
@@ -202,7 +200,6 @@
 	cmd := g.cmd
 	go func() {
 		_ = cmd.Wait()
-		g.state = cmd.ProcessState
 		_ = out.Close()
 		close(exited)
 	}()
@@ -260,7 +257,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	s.arrivals.Add(1)
 	s.handle(s, w, q)
 }
 
