--- a/review/_standins2/room.go
+++ b/review/_standins2/room.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -124,7 +125,23 @@
 	}
 	<-done
 	time.Sleep(roomRecover)
+	for _, g := range gs {
+		if a := ask(g.ready, "GET /sequoialead/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", time.Second); a.status != 200 {
+			fatal("%s is not ready again: %d %v", g.name, a.status, a.err)
+		}
+	}
+	r.note("all gateways are ready")
 	after := load("after", 15*time.Second)
+	if os.Getenv("LONGER") != "" { // beyond the case: does it get better by itself, or by a restart?
+		time.Sleep(60 * time.Second)
+		load("a minute later", 15*time.Second)
+		r.note("front-%d is killed", leader+1)
+		_ = gs[leader].cmd.Process.Signal(syscall.SIGKILL)
+		<-gs[leader].exited
+		r.run(gs[leader])
+		time.Sleep(roomRecover)
+		load("after a restart of the leader", 15*time.Second)
+	}
 	r.note("before %.2f, after %.2f", before, after)
 	if before >= 0.25 && after < 0.25 {
 		r.end(1)
