http1: Don't take a reset during an upload for the end of an answer

Callers saw: a server answered a long upload early, with a 200 that had no length, sent a part of the body and reset the connection. Callers got that part as a whole answer, also of requests that may not be repeated and of streams.

Cause: the kernel reports the failure of a connection once, to the first call that meets it. While a request's body is written beside the reading of the answer, that call may be the write, whose error was dropped. The read then gets an end of file, which is the regular end of a body without a length. A time-out of the connection is lost in the same way.

Change: connections of the client remember what the kernel reported to a write. A read that meets the end first interrupts a write in progress and waits for it, since that write may have the error and not have returned; it then fails with that error. An end is still in order if the write failed with EPIPE: the kernel reports a reset so if the peer had ended its side before. A peer that has ended its side and reads nothing more would make the connection time out, so the write of a body looks for that each 100 ms without progress, and stops.

"With its end" of TestEarlyAnswerBeforeATimeout fails without the look at the peer's end.

--- a/io/http1/do.go
+++ b/io/http1/do.go
@@ -128,7 +128,7 @@
 	if len(req.Body) > syncBodyBytes {
 		go func() {
 			defer close(bodySent)
-			_, _ = k.Write(req.Body) // if this fails, so does reading the response, unless the peer has responded early
+			_ = k.writeBody(req.Body) // if this fails, so does reading the response, unless the peer has responded early
 		}()
 	}
 	response, err := k.readResponse(req)
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -91,7 +91,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*checkedConn
 	// number counts the connections of the client.
 	number uint64
 	addr   netip.AddrPort
@@ -223,11 +223,7 @@
 	if k.r.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := k.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := k.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -266,6 +262,7 @@
 	c.opened++
 	number := c.opened
 	c.mu.Unlock()
-	limit := &headLimiter{r: raw}
-	return &conn{Conn: raw, number: number, addr: addr, headLimit: limit, r: bufio.NewReaderSize(limit, readBufferBytes), idleTimeout: c.opts.IdleTimeout}, nil
+	checked := &checkedConn{Conn: raw}
+	limit := &headLimiter{r: checked}
+	return &conn{checkedConn: checked, number: number, addr: addr, headLimit: limit, r: bufio.NewReaderSize(limit, readBufferBytes), idleTimeout: c.opts.IdleTimeout}, nil
 }
