engine, log, list, console, front: Don't take a reset for an answer's end

Change: http1.NewTransport gives transports of net/http the connections of http1's own client, and all clients of the product's own protocols use it. Only engine's passes bodies on that don't show their end themselves.

Answers that end in order were passed on before and after.

--- a/io/console/console.go
+++ b/io/console/console.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sequoialead"
+	"sequoialead/io/http1"
 	"sequoialead/io/operator"
 )
 
@@ -40,7 +41,7 @@
 	if len(opts.Entries) == 0 {
 		return nil, sequoialead.ErrSettings.New("no entry is given; use --entry IP:PORT or SEQUOIALEAD_ENTRY")
 	}
-	return &Client{opts: opts, http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}}}, nil
+	return &Client{opts: opts, http: &http.Client{Timeout: requestTimeout, Transport: http1.NewTransport(&http.Transport{})}}, nil
 }
 
 // Close closes idle connections.
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -16,6 +16,7 @@
 	"strings"
 
 	"sequoialead"
+	"sequoialead/io/http1"
 )
 
 // Names of headers between agents and backend servers.
@@ -83,8 +84,8 @@
 
 // New returns a client of the backend server at an address.
 func New(addr netip.AddrPort) *Client {
-	reusing := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
-	oneShot := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+	reusing := http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes})
+	oneShot := http1.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes})
 	return &Client{addr: addr, reusing: &http.Client{Transport: reusing}, oneShot: &http.Client{Transport: oneShot}}
 }
 
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -22,6 +22,15 @@
 // newRawServer starts a server that reads each request and lets answer write to its
 // connection, which it then closes.
 func newRawServer(t *testing.T, answer func(conn net.Conn)) netip.AddrPort {
+	return newEarlyServer(t, func(conn *net.TCPConn, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		answer(conn)
+	})
+}
+
+// newEarlyServer starts a server that reads the head of each request and lets answer write to its
+// connection, which it then closes.
+func newEarlyServer(t *testing.T, answer func(conn *net.TCPConn, request *http.Request)) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = l.Close() })
@@ -33,12 +42,9 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
+				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					answer(conn.(*net.TCPConn), request)
 				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				answer(conn)
 			}()
 		}
 	}()
@@ -52,12 +58,16 @@
 func (r *reply) Flush() error         { return nil }
 
 func do(t *testing.T, addr netip.AddrPort, op sequoialead.Op, idempotent bool) (string, error) {
+	return send(t, addr, sequoialead.Call{Op: op, Path: "/x", Idempotent: idempotent, Body: []byte("{}")})
+}
+
+func send(t *testing.T, addr netip.AddrPort, call sequoialead.Call) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	client := engine.New(addr)
 	defer func() { _ = client.Close() }()
 	var r reply
-	_, err := client.Do(ctx, sequoialead.Call{Op: op, Path: "/x", Idempotent: idempotent, Body: []byte("{}")}, sequoialead.Boot{ID: "b"}, &r)
+	_, err := client.Do(ctx, call, sequoialead.Boot{ID: "b"}, &r)
 	if ctx.Err() != nil {
 		t.Errorf("the call took 10 s")
 	}
@@ -138,3 +148,53 @@
 		})
 	}
 }
+
+// A server that answers during an upload, without a length, and resets the connection has not
+// answered; one that ends its side in order has.
+func TestEarlyAnswer(t *testing.T) {
+	const tries = 50
+	upload := []byte(strings.Repeat("y", 16<<20)) // more than the kernel's buffers hold
+	part := strings.Repeat("x", 24<<10)
+	reset := func(conn *net.TCPConn) { _ = conn.SetLinger(0) }
+	tests := []struct {
+		desc  string
+		end   func(conn *net.TCPConn, body io.Reader)
+		whole bool
+	}{
+		{"reset at once", func(conn *net.TCPConn, _ io.Reader) { reset(conn) }, false},
+		{"reset once it was read", func(conn *net.TCPConn, _ io.Reader) {
+			time.Sleep(10 * time.Millisecond)
+			reset(conn)
+		}, false},
+		{"reset while the server reads", func(conn *net.TCPConn, body io.Reader) {
+			_, _ = io.CopyN(io.Discard, body, 8<<20)
+			reset(conn)
+		}, false},
+		{"in order", func(conn *net.TCPConn, body io.Reader) {
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, body)
+		}, true},
+	}
+	for _, test := range tests {
+		for _, idempotent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, idempotent %t", test.desc, idempotent), func(t *testing.T) {
+				c := qt.New(t)
+				whole := 0
+				for range tries {
+					addr := newEarlyServer(t, func(conn *net.TCPConn, request *http.Request) {
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+part)
+						test.end(conn, request.Body)
+					})
+					text, err := send(t, addr, sequoialead.Call{Op: sequoialead.OpInvoke, Path: "/x", Idempotent: idempotent, Body: upload})
+					if err == nil {
+						c.Check(text, qt.Equals, part)
+						whole++
+						continue
+					}
+					c.Check(errorx.IsOfType(err, sequoialead.ErrLost), qt.IsTrue, qt.Commentf("%v", err))
+				}
+				c.Check(whole, qt.Equals, map[bool]int{true: tries}[test.whole], qt.Commentf("of %d answers", tries))
+			})
+		}
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -16,6 +15,7 @@
 
 	"sequoialead"
 	"sequoialead/io/caller"
+	"sequoialead/io/http1"
 )
 
 const (
@@ -50,8 +50,7 @@
 
 // New returns a client.
 func New() *Client {
-	dialer := &net.Dialer{}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
+	transport := http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true})
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
--- a/io/list/list.go
+++ b/io/list/list.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"sequoialead"
+	"sequoialead/io/http1"
 )
 
 // Path is the HTTP path of the list.
@@ -94,7 +95,7 @@
 		opts: opts,
 		// Decompression is left to decode, which first counts the bytes as sent
 		// over the network.
-		http:    &http.Client{Transport: &http.Transport{DisableCompression: true}},
+		http:    &http.Client{Transport: http1.NewTransport(&http.Transport{DisableCompression: true})},
 		limiter: rate.NewLimiter(rate.Limit(opts.Rate), opts.Burst),
 	}
 }
--- a/io/log/log.go
+++ b/io/log/log.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sequoialead"
+	"sequoialead/io/http1"
 )
 
 const (
@@ -52,7 +53,7 @@
 
 // New returns a client of the log at an address.
 func New(addr netip.AddrPort) *Client {
-	return &Client{addr: addr, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	return &Client{addr: addr, http: &http.Client{Transport: http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16})}}
 }
 
 // Close closes idle connections.
