http1: Refuse an answer with status 000, and what follows it

Callers saw: of a server in trouble that sent an answer with status 000, and another answer in the same bytes, they got the second one, also where it stood in the body of the first. A 000 alone was a 502 already.

Cause: each status below 200 counted as interim. The client passed over the head and took the next bytes for the head of the answer. The store's answers and those to calls for pieces were read in the same way, and so was what follows a 101, though no request asks for another protocol.

Change: interim are 100 and 102 to 199. A status below 100 or of 101 fails the request as a malformed head does, and the connection is closed.

--- a/io/http1/do.go
+++ b/io/http1/do.go
@@ -198,6 +198,9 @@
 		k.headLimit.enabled = true
 		raw, err := http.ReadResponse(k.r, &http.Request{Method: method})
 		k.headLimit.enabled = false
+		if err == nil {
+			err = checkHead(raw)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -183,6 +183,13 @@
 		{"the headers are too long", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10), "", 2},
 		{"only responses to other requests come", strings.Repeat("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n", 5), "", 2},
 		{"the connection is closed without a response", "", "", 2},
+		{"an interim response comes first", "HTTP/1.1 103 Early Hints\r\nX-Id: other\r\n\r\n" + completeResponse, "ok", 1},
+		{"the status is 000", strings.Replace(completeResponse, "200", "000", 1), "", 2},
+		{"a response follows one with the status 000", "HTTP/1.1 000 Trouble\r\nX-Id: mine\r\n\r\n" + completeResponse, "", 2},
+		{"a response is in the body of one with the status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 48\r\n\r\n" + completeResponse, "", 2},
+		{"a response follows one with the status 099", "HTTP/1.1 099 Trouble\r\n\r\n" + completeResponse, "", 2},
+		{"a response follows one with the status -00", "HTTP/1.1 -00 Trouble\r\n\r\n" + completeResponse, "", 2},
+		{"a response follows a switch to another protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + completeResponse, "", 2},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
