http1, engine: Refuse an answer with status 000 to clients that use net/http

Callers saw: an answer with status 000, from a backend server behind an agent, as a success, whole or as a stream of tokens; one with status 101 as well.

Cause: net/http hands on any status of three digits, and the agent's client only sorts out those from 400 on.

--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -198,3 +198,34 @@
 		}
 	}
 }
+
+// An answer with a status that HTTP doesn't have, or that takes the connection over, is none.
+func TestMalformedAnswer(t *testing.T) {
+	const events = "data: {\"choices\":[{\"text\":\"x\"}]}\n\ndata: [DONE]\n\n"
+	const valid = "HTTP/1.1 200 OK\r\n\r\n" + events
+	tests := []struct {
+		desc   string
+		answer string
+	}{
+		{"status 000", "HTTP/1.1 000 Trouble\r\n\r\n" + events},
+		{"status 000 before an answer", "HTTP/1.1 000 Trouble\r\n\r\n" + valid},
+		{"status 099", "HTTP/1.1 099 Trouble\r\n\r\n" + events},
+		{"status 101", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + events},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			addr := newRawServer(t, func(conn net.Conn) { _, _ = io.WriteString(conn, test.answer) })
+			for _, op := range []sequoialead.Op{sequoialead.OpInvoke, sequoialead.OpGenerate} {
+				for _, idempotent := range []bool{false, true} {
+					text, err := do(t, addr, op, idempotent)
+					c.Check(errorx.IsOfType(err, sequoialead.ErrLost), qt.IsTrue, qt.Commentf("%s: %q, %v", op, text, err))
+				}
+			}
+			client := engine.New(addr)
+			defer func() { _ = client.Close() }()
+			_, err := client.Probe(context.Background())
+			c.Check(err, qt.IsNotNil)
+		})
+	}
+}
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -6,9 +6,12 @@
 	"net/http"
 )
 
+// transport is a transport for clients that use net/http.
+type transport struct{ *http.Transport }
+
 // NewTransport returns a transport for clients that use net/http, with the settings of base, which
 // must have no DialContext. Like Client, it doesn't take the failure of a connection for the end of
-// an answer.
+// an answer, and fails on a malformed one.
 func NewTransport(base *http.Transport) http.RoundTripper {
 	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		var dialer net.Dialer
@@ -18,5 +21,18 @@
 		}
 		return &checkedConn{Conn: conn}, nil
 	}
-	return base
+	return transport{base}
+}
+
+// RoundTrip sends a request and reads the head of its response.
+func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response); err != nil {
+		_ = response.Body.Close() // closes the connection, unless the body was read to its end
+		return nil, err
+	}
+	return response, nil
 }
