http1: Refuse an answer whose head has a name with a blank

Callers saw: an answer of a server in trouble, in whose head a field's name held a blank, was passed on with that line. Where a blank stood behind Content-Length or Transfer-Encoding, they got a body that was not the server's: with what followed it, or with the framing of its chunks. A control byte in a name was a 502 already.

Cause: net/http's parser refuses names with control bytes and with bytes that are not ASCII, but accepts blanks, and then doesn't know the field: an answer without a known length ends with its connection.

These close the connection then: net/http would use it again after an answer without a body.

--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -199,7 +199,8 @@
 	}
 }
 
-// An answer with a status that HTTP doesn't have, or that takes the connection over, is none.
+// An answer with a status or the name of a field that HTTP doesn't have is none, nor is one that takes
+// the connection over.
 func TestMalformedAnswer(t *testing.T) {
 	const events = "data: {\"choices\":[{\"text\":\"x\"}]}\n\ndata: [DONE]\n\n"
 	const valid = "HTTP/1.1 200 OK\r\n\r\n" + events
@@ -211,6 +212,9 @@
 		{"status 000 before an answer", "HTTP/1.1 000 Trouble\r\n\r\n" + valid},
 		{"status 099", "HTTP/1.1 099 Trouble\r\n\r\n" + events},
 		{"status 101", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + events},
+		{"a blank in a name", "HTTP/1.1 200 OK\r\nX Note: y\r\n\r\n" + events},
+		{"a blank after a name", fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(events), events)},
+		{"a control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Note: y\r\n\r\n" + events},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -189,6 +189,14 @@
 		{"a response is in the body of one with the status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 48\r\n\r\n" + completeResponse, "", 2},
 		{"a response follows one with the status 099", "HTTP/1.1 099 Trouble\r\n\r\n" + completeResponse, "", 2},
 		{"a response follows one with the status -00", "HTTP/1.1 -00 Trouble\r\n\r\n" + completeResponse, "", 2},
+		{"a name has a blank", strings.Replace(completeResponse, "X-Id", "X Note: y\r\nX-Id", 1), "", 2},
+		{"a name ends with a blank", strings.Replace(completeResponse, "X-Id", "X-Note : y\r\nX-Id", 1), "", 2},
+		{"the name of the length ends with a blank", strings.Replace(completeResponse, "Length:", "Length :", 1), "", 2},
+		{"the name of the encoding ends with a blank", "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "", 2},
+		{"a name has a blank in a response to another request", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length : 59\r\nContent-Length: 0\r\n\r\n" + completeResponse, "", 2},
+		{"a name has a control byte", strings.Replace(completeResponse, "X-Id", "X\x01Note: y\r\nX-Id", 1), "", 2},
+		{"a name has a tab", strings.Replace(completeResponse, "X-Id", "X\tNote: y\r\nX-Id", 1), "", 2},
+		{"a name has a byte of 0", strings.Replace(completeResponse, "X-Id", "X\x00Note: y\r\nX-Id", 1), "", 2},
 		{"a response follows a switch to another protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + completeResponse, "", 2},
 	}
 	for _, test := range tests {
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // transport is a transport for clients that use net/http.
@@ -26,12 +27,15 @@
 
 // RoundTrip sends a request and reads the head of its response.
 func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(request)
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
 	if err := checkHead(response); err != nil {
-		_ = response.Body.Close() // closes the connection, unless the body was read to its end
+		_ = conn.Close() // net/http would reuse it after a response without a body
+		_ = response.Body.Close()
 		return nil, err
 	}
 	return response, nil
--- a/testscripts/malformed_test.go
+++ b/testscripts/malformed_test.go
@@ -22,17 +22,26 @@
 	valid := head + fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	withStatus := func(status string) string { return strings.Replace(valid, "200 OK", status, 1) }
 	const noBody = "HTTP/1.1 000 Trouble\r\nRequest-Id: IDENTITY\r\nResponse-Stamp: s.1\r\n"
-	tests := []struct {
+	type malformed struct {
 		desc   string
 		answer string
 		status int
-	}{
+	}
+	tests := []malformed{
 		{"a valid answer", valid, http.StatusOK},
 		{"status 000", withStatus("000 Trouble"), http.StatusBadGateway},
 		{"an answer after one with status 000", noBody + "\r\n" + valid, http.StatusBadGateway},
 		{"an answer in the body of one with status 000", noBody + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(valid), valid), http.StatusBadGateway},
 		{"an answer after one with status 101", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + valid, http.StatusBadGateway},
 	}
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	for _, name := range []string{"X Note", "X-Note ", "X\tNote", "X\x01Note", "X\x7fNote"} {
+		answer := strings.Replace(valid, "Content-Type", name+": y\r\nContent-Type", 1)
+		tests = append(tests, malformed{fmt.Sprintf("a field %q", name), answer, http.StatusBadGateway})
+	}
+	tests = append(tests,
+		malformed{"a blank after the name of the length", strings.Replace(valid, "Length:", "Length :", 1) + "more", http.StatusBadGateway},
+		malformed{"a blank after the name of the encoding", head + "Transfer-Encoding : chunked\r\n\r\n" + chunked, http.StatusBadGateway})
 	routes := []struct{ pool, path string }{{"desk", "/check/x"}, {"desk", "/hold/x"}, {"model", "/tale/x"}}
 	g := newGateways(t, 1)
 	p := g.procs[0]
