engine: Don't take a part of a health check's answer for the whole

Agents saw: a backend server in trouble broke off its answer to a health check, and counted as healthy and as another run that reports no name, as after a restart.

Cause: an answer that is not JSON is that of a plain service, which reports no run; the error of a body that broke off was taken for that.

Change: the body is read first, and if it breaks off the check is lost.

Evidence: before, 54 cuts of an answer of known length or in chunks passed for a healthy server without a name (TestCutHealthCheckIsLost), and seven, inside the end of the chunks, for the whole answer; after, none.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -96,7 +96,7 @@
 }
 
 // Probe returns the backend server's identity. The error is ErrUnsent if the
-// connection fails, ErrLost if there is no answer, and ErrFailed if the
+// connection fails, ErrLost if there is no whole answer, and ErrFailed if the
 // backend server is not healthy.
 func (c *Client) Probe(ctx context.Context) (sequoialead.Boot, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(HealthPath), nil)
@@ -111,8 +111,12 @@
 	if response.StatusCode != http.StatusOK {
 		return sequoialead.Boot{}, sequoialead.ErrFailed.New("backend server %s is not healthy (status %d); see its own logs", c.addr, response.StatusCode)
 	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxEventBytes))
+	if err != nil {
+		return sequoialead.Boot{}, sequoialead.ErrLost.Wrap(err, "the answer of backend server %s to a health check was truncated; see its own logs", c.addr)
+	}
 	var h Health
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxEventBytes)).Decode(&h); err != nil || h.Boot == "" {
+	if err := json.NewDecoder(bytes.NewReader(raw)).Decode(&h); err != nil || h.Boot == "" {
 		h.Boot = defaultBootID
 	}
 	return sequoialead.Boot{ID: h.Boot, Model: h.Model}, nil
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -233,3 +233,33 @@
 		})
 	}
 }
+
+// A part of the answer to a health check tells nothing of the server, and must not pass for the
+// answer of one that reports no run.
+func TestCutHealthCheckIsLost(t *testing.T) {
+	const health = `{"boot":"b1","model":"m"}`
+	framings := []struct {
+		desc   string
+		answer string
+	}{
+		{"with its length", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(health), health)},
+		{"in chunks", fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(health), health)},
+	}
+	for _, framing := range framings {
+		t.Run(framing.desc, func(t *testing.T) {
+			for length := range len(framing.answer) + 1 {
+				c := qt.New(t)
+				addr := newRawServer(t, func(conn net.Conn) { _, _ = io.WriteString(conn, framing.answer[:length]) })
+				client := engine.New(addr)
+				boot, err := client.Probe(context.Background())
+				c.Check(client.Close(), qt.IsNil)
+				if length < len(framing.answer) {
+					c.Check(errorx.IsOfType(err, sequoialead.ErrLost), qt.IsTrue, qt.Commentf("%v, %v after %q", boot, err, framing.answer[:length]))
+					continue
+				}
+				c.Check(err, qt.IsNil)
+				c.Check(boot, qt.Equals, sequoialead.Boot{ID: "b1", Model: "m"})
+			}
+		})
+	}
+}
