http1: Keep an early answer that ended in order for clients of net/http

Callers saw: a backend server behind an agent answered a long upload early, with a whole answer that had no length, ended its side and closed. The call was lost.

Cause: net/http closes the connection when the write of a request's body fails, and with it goes what was not read of the answer. A server that has not read the request resets the connection after the end of its answer.

Change: connections of http1.NewTransport drop what is written after such a reset (EPIPE) and report it as written, so that net/http reads the answer to its end. Any other failure of a write is still reported.

The parts with a reset before the end hold.

--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"syscall"
 )
 
 // transport is a transport for clients that use net/http.
@@ -20,7 +22,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: conn}, nil
+		return transportConn{&checkedConn{Conn: conn}}, nil
 	}
 	return transport{base}
 }
@@ -40,3 +42,16 @@
 	}
 	return response, nil
 }
+
+// transportConn is a connection of net/http.
+type transportConn struct{ *checkedConn }
+
+// Write writes to the connection. It drops what the peer resets after it has ended its side: on an
+// error net/http would close the connection, and with it what was not read of the answer.
+func (c transportConn) Write(p []byte) (int, error) {
+	n, err := c.checkedConn.Write(p)
+	if errors.Is(err, syscall.EPIPE) {
+		return len(p), nil
+	}
+	return n, err
+}
--- a/io/http1/transport_test.go
+++ b/io/http1/transport_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 
@@ -13,6 +15,60 @@
 	"sequoialead/io/http1"
 )
 
+// net/http closes a connection when a write on it fails. An answer that had ended in order before
+// that must still be read to its end; one that was reset must not pass for whole.
+func TestTransportEarlyAnswer(t *testing.T) {
+	tests := []struct {
+		desc  string
+		end   func(conn *net.TCPConn)
+		whole bool
+	}{
+		{"reset", func(conn *net.TCPConn) { _ = conn.SetLinger(0) }, false},
+		{"in order, and the server closes", func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			waitForDelivery(conn)
+		}, true},
+	}
+	for _, test := range tests {
+		for _, slow := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, read slowly %t", test.desc, slow), func(t *testing.T) {
+				c := qt.New(t)
+				p := newFakeServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					write(conn, earlyHead+strings.Repeat("x", earlyBodyBytes))
+					test.end(conn.(*net.TCPConn))
+				})
+				client := http.Client{Transport: http1.NewTransport(&http.Transport{})}
+				defer client.CloseIdleConnections()
+				whole := 0
+				for range earlyTries {
+					response, err := postTo(p.addr, &client, strings.Repeat("y", uploadBytes))
+					if err != nil {
+						continue
+					}
+					n, err := readBody(response.Body, slow)
+					_ = response.Body.Close()
+					if err == nil {
+						c.Check(n, qt.Equals, earlyBodyBytes)
+						whole++
+					}
+				}
+				c.Check(whole, qt.Equals, map[bool]int{true: earlyTries}[test.whole], qt.Commentf("of %d answers", earlyTries))
+			})
+		}
+	}
+}
+
+func postTo(addr netip.AddrPort, client *http.Client, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+addr.String(), strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return client.Do(request)
+}
+
 // A connection that has carried a malformed response must not carry another request, also if the
 // response has no body.
 func TestTransportClosesConnectionAfterMalformedResponse(t *testing.T) {
@@ -41,14 +97,9 @@
 			})
 			client := http.Client{Transport: http1.NewTransport(&http.Transport{})}
 			defer client.CloseIdleConnections()
-			post := func() (*http.Response, error) {
-				request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+p.addr.String(), strings.NewReader("body"))
-				c.Assert(err, qt.IsNil)
-				return client.Do(request)
-			}
-			_, err := post() //nolint:bodyclose // there is no response
+			_, err := postTo(p.addr, &client, "body") //nolint:bodyclose // there is no response
 			c.Assert(err, qt.IsNotNil)
-			response, err := post()
+			response, err := postTo(p.addr, &client, "body")
 			c.Assert(err, qt.IsNil)
 			c.Assert(response.Body.Close(), qt.IsNil)
 			c.Assert(p.connCount(), qt.Equals, 2)
