http1: Reword comments on broken connections, simplify peerEnded

Cause: found when the diff was read as a newcomer would. Change: the package comment names malformed heads; peerEnded has one result.

--- a/io/http1/checkedconn.go
+++ b/io/http1/checkedconn.go
@@ -47,15 +47,15 @@
 	return n, err
 }
 
-// Read reads from the connection. At its end it fails with the error of an earlier write, unless
-// the connection failed only after the peer had ended its side. Writes fail from then on.
+// Read reads from the connection. At its end it returns the error of an earlier write, unless the
+// connection failed only after the peer had ended its side. Writes fail from then on.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	c.ended.Store(true)
-	// Interrupts a write in progress, whose error would come too late.
+	// Interrupts a write in progress, which may have the error and not have returned yet.
 	_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -67,8 +67,8 @@
 }
 
 // writeBody writes the body of a request. It stops without an error if the peer has ended its side
-// and reads nothing more: the kernel would time the connection out, and a write that reported that
-// would make the end look like a failure to Read.
+// and reads nothing more. The kernel would time the connection out, and Read would take the error
+// of the write for that of an answer that was cut.
 func (c *checkedConn) writeBody(body []byte) error {
 	for {
 		_ = c.SetWriteDeadline(time.Now().Add(endCheckInterval)) // fails only on a closed connection
@@ -94,11 +94,11 @@
 		return false
 	}
 	ended := false
-	err = raw.Control(func(fd uintptr) {
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		ended = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
 	})
-	return err == nil && ended
+	return ended
 }
 
 // SyscallConn returns the raw connection.
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -1,9 +1,9 @@
 // Package http1 is an HTTP/1.1 client with persistent connections and one
 // request at a time on each. Unlike net/http it never sends a request twice,
 // its errors tell whether a request can have reached the peer, it closes
-// a connection after any response or data that was not expected, and a body without a
-// length is whole only if its connection has ended in order. NewTransport has the last
-// for clients that use net/http.
+// a connection after any response or data that was not expected, and it takes
+// neither a malformed head for a response nor a broken connection for the end of
+// a body. Clients that use net/http get the last two from NewTransport.
 package http1
 
 import (
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -9,7 +9,7 @@
 	"syscall"
 )
 
-// transport is a transport for clients that use net/http.
+// transport checks the heads of the responses of net/http.
 type transport struct{ *http.Transport }
 
 // NewTransport returns a transport for clients that use net/http, with the settings of base, which
