--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -263,3 +263,12 @@
 		})
 	}
 }
+
+// A health check's answer without a length may end inside its JSON.
+func TestCutHealthCheckWithoutLength(t *testing.T) {
+	addr := newRawServer(t, func(conn net.Conn) { _, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{\"boot\":\"b1") })
+	client := engine.New(addr)
+	defer func() { _ = client.Close() }()
+	boot, err := client.Probe(context.Background())
+	qt.Assert(t, errorx.IsOfType(err, sequoialead.ErrLost), qt.IsTrue, qt.Commentf("%v, %v", boot, err))
+}
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -36,7 +36,7 @@
 		return nil, err
 	}
 	if err := checkHead(response); err != nil {
-		_ = conn.Close() // net/http would reuse it after a response without a body
+		_ = conn.Close() // after a response without a body, net/http may have given it to another request already
 		_ = response.Body.Close()
 		return nil, err
 	}
--- a/io/http1/transport_test.go
+++ b/io/http1/transport_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,3 +112,44 @@
 		})
 	}
 }
+
+// A malformed response without a body must not leave its connection to another request, which would
+// take what follows on it for its own response.
+func TestTransportSharedAfterMalformedResponse(t *testing.T) {
+	c := qt.New(t)
+	p := newFakeServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for i := 0; ; i++ {
+			if _, _, err := readRequest(r); err != nil {
+				return
+			}
+			if i%3 != 1 {
+				write(conn, completeResponse)
+				continue
+			}
+			write(conn, "HTTP/1.1 200 OK\r\nX Note: y\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(200 * time.Microsecond)
+			write(conn, "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	client := http.Client{Transport: http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64})}
+	defer client.CloseIdleConnections()
+	var foreign atomic.Int64
+	var callers sync.WaitGroup
+	for range 32 {
+		callers.Go(func() {
+			for range 500 {
+				response, err := postTo(p.addr, &client, "body")
+				if err != nil {
+					continue
+				}
+				if response.Header.Get("X-Id") == "other" {
+					foreign.Add(1)
+				}
+				_, _ = readBody(response.Body, false) // only then the connection is reused
+				_ = response.Body.Close()
+			}
+		})
+	}
+	callers.Wait()
+	c.Assert(foreign.Load(), qt.Equals, int64(0))
+}
--- a/testscripts/earlyanswer_test.go
+++ b/testscripts/earlyanswer_test.go
@@ -1,6 +1,7 @@
 package testscripts
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -120,3 +121,34 @@
 		})
 	}
 }
+
+// TestCutAnswerToHTTP10Caller guards against an answer that a backend server resets once a gateway
+// has passed on its head. For callers of HTTP/1.0 an answer ends with its connection, so that the
+// gateway must not close that in order.
+func TestCutAnswerToHTTP10Caller(t *testing.T) {
+	c := qt.New(t)
+	g := newGateways(t, 1)
+	p := g.procs[0]
+	addr := newRawServer(t, func(conn net.Conn, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+request.Header.Get("Request-Id")+"\r\nResponse-Stamp: s.1\r\n\r\n"+strings.Repeat("x", 600<<10))
+		time.Sleep(100 * time.Millisecond) // lets the gateway pass on what was sent
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	g.removeBackends("desk")
+	g.putBackendRecord("desk-cut", "desk", backend.Options{Slots: 64, Addr: addr.String()}, "ready")
+	time.Sleep(serversRead)
+	for try := range earlyTries {
+		conn, err := net.Dial("tcp", p.callerAddr.String())
+		c.Assert(err, qt.IsNil)
+		_, err = fmt.Fprintf(conn, "POST /hold/x HTTP/1.0\r\nHost: h\r\nRequest-Id: r%d\r\nDeadline: 2000\r\nAuthorization: Token k1\r\nContent-Length: 0\r\n\r\n", try)
+		c.Assert(err, qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		c.Assert(err, qt.IsNil)
+		n, err := io.Copy(io.Discard, response.Body)
+		c.Check(err, qt.IsNotNil, qt.Commentf("%d bytes of a broken answer passed for whole", n))
+		_ = response.Body.Close()
+		_ = conn.Close()
+		time.Sleep(200 * time.Millisecond)
+	}
+}
