Review: show that an older copy of the store hides a new version

The stand-ins use a loopback address of their own for each process, since one run of five beside four others could not start for a port that was taken.

--- a/review/_standins4/gateway.go
+++ b/review/_standins4/gateway.go
@@ -22,8 +22,15 @@
 	err                error
 }
 
+// loopback returns a loopback address of this process's own, so that several cases may run at
+// the same time without taking each other's ports.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+}
+
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return "", err
 	}
--- a/review/_standins4/main.go
+++ b/review/_standins4/main.go
@@ -56,7 +56,15 @@
 
 func (w *World) addGateways(zones ...string) error {
 	for i, zone := range zones {
-		g, err := startGateway(w.bin, w.dir, fmt.Sprintf("front-%s-%d", zone, i+1), zone, w.store.addr)
+		name := fmt.Sprintf("front-%s-%d", zone, i+1)
+		g, err := startGateway(w.bin, w.dir, name, zone, w.store.addr)
+		for try := 1; err == nil && try < 4; try++ {
+			time.Sleep(100 * time.Millisecond)
+			if g.alive() {
+				break
+			}
+			g, err = startGateway(w.bin, w.dir, name, zone, w.store.addr) // a port was taken meanwhile
+		}
 		if err != nil {
 			return err
 		}
--- a/review/_standins4/oldercopy.go
+++ b/review/_standins4/oldercopy.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -10,24 +11,33 @@
 func init() {
 	cases["older-copy-key"] = olderCopyKey
 	cases["older-copy-drain"] = olderCopyDrain
+	cases["older-copy-route"] = olderCopyRoute
 }
 
 const (
 	host    = "desk.example"
 	service = "slot-desk"
+	// otherService is where a later version of older-copy-route leads.
+	otherService = "slot-desk-two"
 )
 
 // settings returns a version of the configuration.
 func settings(version, timeout int, keys ...string) []byte {
+	return settingsTo(service, version, timeout, keys...)
+}
+
+// settingsTo returns a version whose route leads to the given service.
+func settingsTo(target string, version, timeout int, keys ...string) []byte {
 	raw, _ := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
 			"name": "r-check", "host": host, "path_prefix": "/check/", "kind": "safe", "timeout_ms": timeout, "slo_ms": 300, "priority": 2,
-			"service": service, "max_attempts": 2, "stages": []any{}, "public": false, "sticky": false, "resumable": false,
-		}},
-		"services": []any{map[string]any{
-			"name": service, "health_path": "/healthz", "max_conns": 51, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
+			"service": target, "max_attempts": 2, "stages": []any{}, "public": false, "sticky": false, "resumable": false,
 		}},
+		"services": []any{
+			map[string]any{"name": service, "health_path": "/healthz", "max_conns": 51, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0},
+			map[string]any{"name": otherService, "health_path": "/healthz", "max_conns": 51, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0},
+		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 10000},
 		"tenants": []any{
 			map[string]any{"name": "guests", "api_keys": []string{"guests-key"}},
@@ -191,3 +201,67 @@
 	w.record("%d requests that were sent later than drain_ms (2 s) after the acknowledgement at %.3f ran at %s, the last one sent at %.3f", late, w.since(acked), leaving.id, last)
 	return late > 0, nil
 }
+
+// olderCopyRoute: while the store is away, the operator waits with a version that moves the route
+// to another service. Once the store is back, it writes the newest version again and then that one.
+func olderCopyRoute(w *World) (bool, error) {
+	for i, zone := range []string{"akl-a", "ham-a"} {
+		r, err := w.addRunner(fmt.Sprintf("i-two-%d", i+1), otherService, zone, 15*time.Millisecond)
+		if err != nil {
+			return false, err
+		}
+		r.list(w.store)
+		go r.heartbeat(w.store, time.Duration(i+1)*500*time.Millisecond, 1200*time.Millisecond)
+	}
+	if err := w.begin(); err != nil {
+		return false, err
+	}
+	stop, all := make(chan struct{}), &sync.WaitGroup{}
+	w.traffic(stop, all, 25*time.Millisecond, func(g *Gateway) { w.send(g, "GET", host, "/check/now", "guests-key", time.Second) })
+	w.sleepUntil(5)
+	older := w.store.copyNow()
+	w.record("store: a copy is made, op ends at %d", w.store.end("keyed.op"))
+	w.sleepUntil(6)
+	w.operator("config", settings(5, 1100), "version 5 (another timeout_ms)")
+	w.sleepUntil(7.5)
+	newest := settings(8, 1200)
+	w.operator("config", newest, "version 8 (another timeout_ms)")
+	w.sleepUntil(9)
+	before := time.Now()
+	if w.trouble {
+		w.store.setAway()
+		w.record("store: away")
+		w.sleepUntil(9.5)
+		w.store.comeBack(older)
+		w.record("store: back from the copy, op ends at %d", w.store.end("keyed.op"))
+		w.operator("config", newest, "version 8, written again,")
+	} else {
+		w.sleepUntil(9.5)
+	}
+	acked := w.operator("config", settingsTo(otherService, 9, 1200), "version 9, which moves the route to "+otherService+",")
+	w.sleepUntil(25)
+	close(stop)
+	all.Wait()
+	w.recordLogs("event=version", "history-gone", "stale-read", "store-lost", "store-back")
+	w.recordRequests()
+	if err := w.checkServed(before); err != nil {
+		return false, err
+	}
+	// The machines are in touch from stable_window_ms after the drill on.
+	from := acked.Add(3500 * time.Millisecond)
+	runs, late, old, last := w.ran(), 0, 0, 0.0
+	for _, r := range w.requests {
+		if !r.Sent.After(from) {
+			continue
+		}
+		late++
+		for _, run := range runs[r.ID] {
+			if !strings.HasPrefix(run.Runner, "i-two-") {
+				old++
+				last = w.since(r.Sent)
+			}
+		}
+	}
+	w.record("%d requests were sent later than 3.5 s after the acknowledgement at %.3f (config_apply_ms is 2 s, stable_window_ms 3 s); %d runs of them were at the old service, the last one sent at %.3f", late, w.since(acked), old, last)
+	return old > 0, nil
+}
--- a/review/_standins4/runner.go
+++ b/review/_standins4/runner.go
@@ -34,7 +34,7 @@
 }
 
 func startRunner(id, service, zone string, work time.Duration) (*Runner, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/review/_standins4/store.go
+++ b/review/_standins4/store.go
@@ -48,7 +48,7 @@
 
 func newStore() (*Store, error) {
 	s := &Store{appendTime: 4 * time.Millisecond, topics: map[string]*topic{}, era: 1}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return nil, err
 	}
