--- a/review/_standins4/runner.go
+++ b/review/_standins4/runner.go
@@ -24,6 +24,7 @@
 	id, service, zone, addr string
 	born                    int64
 	work                    time.Duration
+	slots                   int
 	server                  *http.Server
 
 	mu    sync.Mutex
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{id: id, service: service, zone: zone, addr: listener.Addr().String(), born: time.Now().UnixMilli(), work: work, state: "ready", stop: make(chan struct{})}
+	r := &Runner{id: id, service: service, zone: zone, addr: listener.Addr().String(), born: time.Now().UnixMilli(), work: work, state: "ready", slots: 6, stop: make(chan struct{})}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(listener) }()
 	return r, nil
@@ -74,7 +75,7 @@
 	defer r.mu.Unlock()
 	r.seq++
 	raw, _ := json.Marshal(map[string]any{
-		"service": r.service, "addr": r.addr, "zone": r.zone, "version": "v1", "slots": 6, "state": r.state, "cold_left_ms": 0, "seq": r.seq, "born": r.born,
+		"service": r.service, "addr": r.addr, "zone": r.zone, "version": "v1", "slots": r.slots, "state": r.state, "cold_left_ms": 0, "seq": r.seq, "born": r.born,
 	})
 	return raw
 }
