platform: decode the era of the store's answers

A store that comes back from an older copy gives out its offsets again. Only the Store-Era header of its answers tells this from a quiet topic or a stale answer, and the client dropped all headers.

The era is decoded in one place and travels with each page and each append as a typed value, also beside an error that an answer of the store explains.

--- a/core/watch/rollouts.go
+++ b/core/watch/rollouts.go
@@ -194,7 +194,7 @@
 		if err != nil {
 			return err
 		}
-		ok, err := w.opts.Revisions.PutAt(ctx, sequoialead.TopicStatus, key, raw, page.Next)
+		ok, _, err := w.opts.Revisions.PutAt(ctx, sequoialead.TopicStatus, key, raw, page.Next)
 		if err != nil {
 			return err
 		}
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -116,14 +116,14 @@
 	return page, nil
 }
 
-func (s *store) Put(_ context.Context, topic sequoialead.Topic, key string, value []byte) error {
+func (s *store) Put(_ context.Context, topic sequoialead.Topic, key string, value []byte) (sequoialead.Era, error) {
 	down := false
 	s.set(func() { down = s.down })
 	if down {
-		return sequoialead.ErrPlatform.New("down")
+		return 0, sequoialead.ErrPlatform.New("down")
 	}
 	s.put(topic, key, string(value))
-	return nil
+	return 0, nil
 }
 
 // decoder decodes text that starts with a digit as the configuration of that
--- a/fake/store/store.go
+++ b/fake/store/store.go
@@ -1,5 +1,5 @@
 // Package store is a fake of the record store of the users' platform, including
-// outages, slowness, lost answers and lost history.
+// outages, slowness, lost answers, lost history and returns from an older copy.
 package store
 
 import (
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -61,13 +62,17 @@
 	topics map[string]*topic
 	fault  Fault
 	calls  int
+	era    uint64
 }
 
+// Snapshot is a copy of all records.
+type Snapshot struct{ topics map[string]*topic }
+
 var _ http.Handler = (*Server)(nil)
 
-// New returns an empty store.
+// New returns an empty store in its first era.
 func New() *Server {
-	s := &Server{mux: goji.NewMux(), topics: map[string]*topic{}}
+	s := &Server{mux: goji.NewMux(), topics: map[string]*topic{}, era: 1}
 	s.mux.HandleFunc(pat.Get("/sequoialead/log-read"), s.serveRead)
 	s.mux.HandleFunc(pat.Get("/sequoialead/log-newest"), s.serveNewest)
 	s.mux.HandleFunc(pat.Post("/sequoialead/log-append"), s.serveAppend)
@@ -81,6 +86,36 @@
 	s.fault = f
 }
 
+// Snapshot copies all records.
+func (s *Server) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{topics: copyTopics(s.topics)}
+}
+
+// Restore replaces all records by those of an earlier snapshot and begins a new era. Offsets
+// after the end of the snapshot are given out again.
+func (s *Server) Restore(snapshot Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		close(t.changed)
+	}
+	s.topics = copyTopics(snapshot.topics)
+	s.era++
+}
+
+func copyTopics(topics map[string]*topic) map[string]*topic {
+	copied := make(map[string]*topic, len(topics))
+	for name, t := range topics {
+		copied[name] = &topic{
+			first: t.first, records: slices.Clone(t.records), changed: make(chan struct{}),
+			newestOffsets: maps.Clone(t.newestOffsets), newestValues: maps.Clone(t.newestValues),
+		}
+	}
+	return copied
+}
+
 // Calls returns the number of requests received.
 func (s *Server) Calls() int {
 	s.mu.Lock()
@@ -93,6 +128,7 @@
 	s.mu.Lock()
 	s.calls++
 	f := s.fault
+	setEra(w, s.era)
 	s.mu.Unlock()
 	time.Sleep(f.Delay)
 	switch {
@@ -110,6 +146,11 @@
 	}
 }
 
+// setEra sets the era of an answer.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+}
+
 // discard is a response writer for requests that are executed without an answer.
 type discard struct{ header http.Header }
 
@@ -120,7 +161,7 @@
 // Put appends a record, as the operator or a backend server would, and returns its
 // offset. An empty value deletes the key.
 func (s *Server) Put(name, key string, value []byte) uint64 {
-	offset, _ := s.putAt(name, key, value, nil)
+	offset, _, _ := s.putAt(name, key, value, nil)
 	return offset
 }
 
@@ -144,15 +185,15 @@
 	return values
 }
 
-// putAt appends a record and returns its offset. If a revision is given and the topic does
-// not end there, it appends nothing and returns the end.
-func (s *Server) putAt(name, key string, value []byte, revision *uint64) (offset uint64, ok bool) {
+// putAt appends a record and returns its offset and the era. If a revision is given and the
+// topic does not end there, it appends nothing and returns the end.
+func (s *Server) putAt(name, key string, value []byte, revision *uint64) (offset, era uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
 	offset = t.first + uint64(len(t.records))
 	if revision != nil && *revision != offset {
-		return offset, false
+		return offset, s.era, false
 	}
 	t.records = append(t.records, record{key: key, value: value})
 	t.newestOffsets[key] = offset
@@ -163,7 +204,7 @@
 	}
 	close(t.changed)
 	t.changed = make(chan struct{})
-	return offset, true
+	return offset, s.era, true
 }
 
 // DropHistory deletes the history of a topic; the newest record of each key is kept.
@@ -202,8 +243,9 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for waiting := wait > 0; ; {
-		raw, status, changed := s.encodeSince(r.URL.Query().Get("topic"), from)
+		raw, status, era, changed := s.encodeSince(r.URL.Query().Get("topic"), from)
 		if status != http.StatusOK || len(raw) > 16 || !waiting {
+			setEra(w, era)
 			w.WriteHeader(status)
 			_, _ = w.Write(raw) // the client may have disconnected
 			return
@@ -218,17 +260,17 @@
 	}
 }
 
-// encodeSince returns the body and status of an answer with the records from an offset
+// encodeSince returns the body, status and era of an answer with the records from an offset
 // on, and a channel that is closed when the topic gets a new record.
-func (s *Server) encodeSince(name string, from uint64) ([]byte, int, <-chan struct{}) {
+func (s *Server) encodeSince(name string, from uint64) (raw []byte, status int, era uint64, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
 	end := t.first + uint64(len(t.records))
-	if from < t.first {
-		return []byte(`{"first":` + strconv.FormatUint(t.first, 10) + `}`), http.StatusGone, t.changed
+	if from < t.first || from > end {
+		return []byte(`{"first":` + strconv.FormatUint(t.first, 10) + `}`), http.StatusGone, s.era, t.changed
 	}
-	raw := binary.BigEndian.AppendUint64(nil, end)
+	raw = binary.BigEndian.AppendUint64(nil, end)
 	raw = binary.BigEndian.AppendUint64(raw, t.first)
 	for at := from; at < end; at++ {
 		rec := t.records[at-t.first]
@@ -240,7 +282,7 @@
 		raw = append(raw, rec.key...)
 		raw = append(raw, rec.value...)
 	}
-	return raw, http.StatusOK, t.changed
+	return raw, http.StatusOK, s.era, t.changed
 }
 
 type newestItem struct {
@@ -252,6 +294,7 @@
 func (s *Server) serveNewest(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	setEra(w, s.era)
 	t := s.topic(r.URL.Query().Get("topic"))
 	var keys []string
 	for key := range t.newestOffsets {
@@ -294,7 +337,8 @@
 		}
 		revision = &end
 	}
-	offset, ok := s.putAt(r.URL.Query().Get("topic"), string(raw[5:5+size]), raw[5+size:], revision)
+	offset, era, ok := s.putAt(r.URL.Query().Get("topic"), string(raw[5:5+size]), raw[5+size:], revision)
+	setEra(w, era)
 	w.Header().Set("Content-Type", "application/json")
 	if !ok {
 		w.WriteHeader(http.StatusPreconditionFailed)
--- a/proxy.go
+++ b/proxy.go
@@ -236,8 +236,15 @@
 	Offset uint64 `cbor:"3,keyasint"`
 }
 
+// Era counts the times that the platform's store has come back from an older copy. Offsets of
+// different eras can't be compared. It is zero if the store doesn't tell.
+type Era uint64
+
 // Page is the result of one read of keyed records.
 type Page struct {
+	// Era is that of the answer. It is also set in the page beside an error if the store
+	// answered.
+	Era   Era
 	Items []Item
 	// Next is the offset of the first record that was not returned.
 	Next uint64
@@ -258,15 +265,16 @@
 	// Since returns the records starting at an offset.
 	Since(ctx context.Context, topic Topic, from uint64) (Page, error)
 	// Put appends a keyed record. After an error the record may or may not have
-	// been stored.
-	Put(ctx context.Context, topic Topic, key string, value []byte) error
+	// been stored. The era is that of the answer, also beside an error.
+	Put(ctx context.Context, topic Topic, key string, value []byte) (Era, error)
 }
 
 // RevisionStore is a store that appends a record only if the topic has no other new ones.
 type RevisionStore interface {
 	// PutAt appends a keyed record if the topic ends at the given offset, and reports
-	// whether it did. After an error the record may or may not have been stored.
-	PutAt(ctx context.Context, topic Topic, key string, value []byte, end uint64) (bool, error)
+	// whether it did. After an error the record may or may not have been stored. The era is
+	// that of the answer, also beside an error.
+	PutAt(ctx context.Context, topic Topic, key string, value []byte, end uint64) (bool, Era, error)
 }
 
 // Topic names a stream of keyed records.
