watch: apply operator's records at offsets that are given out again

Cause: a record was left out unless its offset was above that of the last one applied for its key, also after the complete read that follows a 410. The copy ends before that offset, so the version that revoked the key got a lower one, and a successful read kept renewing the lease.

The follower of a topic now knows the era of its offsets. Those of the operator's records and of evacuations are forgotten with the first page of another era. Versions of the configuration still only rise.

--- a/core/serverset/serverset.go
+++ b/core/serverset/serverset.go
@@ -176,6 +176,9 @@
 	}
 }
 
+// RestartEvacuations must be called before Evacuate gets offsets of another era of the store.
+func (set *Set) RestartEvacuations() { clear(set.evacuationOffsets) }
+
 // Evacuated returns the set of evacuated failure domains.
 func (set *Set) Evacuated() map[string]bool {
 	domains := make(map[string]bool, len(set.evacuated))
--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -44,6 +44,12 @@
 	}
 }
 
+// restartOperator forgets the offsets of the operator's records: the store gives them out again.
+func (w *Watcher) restartOperator(time.Time) {
+	clear(w.offsets)
+	w.servers.RestartEvacuations()
+}
+
 // hasDomainKey reports whether one of the keys is that of the domain's
 // evacuation record.
 func (w *Watcher) hasDomainKey(domain string, keys map[string]bool) bool {
--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -48,6 +48,11 @@
 	next        uint64
 	synced      bool
 	recordCache *recordcache.Cache
+	// era is that of the store's answers that next and recordCache come from. restart is
+	// called with the watcher's lock held before the first page of another era is applied;
+	// nil if the topic's state holds no offsets.
+	era     sequoialead.Era
+	restart func(now time.Time)
 	// nextRead is when the next read begins, unless the store is found to have recovered
 	// before. It is modified with the watcher's lock held.
 	nextRead time.Time
@@ -193,7 +198,7 @@
 // askedAt.
 func (f *follower) applyRelayed(response protocol.RecordsResponse, from string, askedAt time.Time) {
 	f.setSource(from)
-	f.applyPage(sequoialead.Page{Items: response.Items, Next: response.Next}, false, askedAt.Add(-response.Age))
+	f.applyPage(sequoialead.Page{Era: f.era, Items: response.Items, Next: response.Next}, false, askedAt.Add(-response.Age))
 }
 
 // readStore reads the topic from the store. started is when the read began.
@@ -259,6 +264,12 @@
 	f.watcher.opts.Metrics.GetOrCreateCounter(fmt.Sprintf(`sequoialead_reads_total{topic=%q,from=%q}`, f.topic, origin)).Inc()
 	now := f.watcher.opts.Now()
 	f.watcher.mu.Lock()
+	if page.Era != f.era {
+		f.era = page.Era
+		if f.restart != nil {
+			f.restart(now)
+		}
+	}
 	if complete {
 		f.recordCache.Reset(page.Next)
 	} else {
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -193,7 +193,8 @@
 	config  *proxyconfig.Config
 	servers *serverset.Set
 	members *membership.Set
-	// offsets maps the operator's keys to the offset of the last applied record.
+	// offsets maps the operator's keys to the offset of the last applied record, in the era of
+	// the topic's follower.
 	offsets map[string]uint64
 	// followers maps each topic to the follower that reads it.
 	followers map[sequoialead.Topic]*follower
@@ -224,7 +225,7 @@
 // Start begins to read in the background. It does not wait for the store.
 func (w *Watcher) Start(context.Context) error {
 	w.follow(&follower{
-		topic: sequoialead.TopicOperator, interval: w.operatorInterval(), apply: w.applyOperator, lease: w.lease,
+		topic: sequoialead.TopicOperator, interval: w.operatorInterval(), apply: w.applyOperator, restart: w.restartOperator, lease: w.lease,
 	})
 	w.follow(&follower{
 		topic: sequoialead.TopicServers, interval: time.Duration(serversShare * float64(w.opts.Drain)), apply: w.applyServers, lease: w.serversLease,
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,8 @@
 	mu          sync.Mutex
 	records     map[sequoialead.Topic][]sequoialead.Item
 	firstOffset uint64
+	// era is that of the answers; 0 if they don't tell.
+	era sequoialead.Era
 	// down makes reads fail.
 	down bool
 	// stale makes reads from an offset return a smaller next offset.
@@ -53,6 +56,28 @@
 	s.records[topic] = append(list, sequoialead.Item{Key: key, Value: []byte(value), Offset: uint64(len(list))})
 }
 
+// snapshot copies all records.
+func (s *store) snapshot() map[sequoialead.Topic][]sequoialead.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := map[sequoialead.Topic][]sequoialead.Item{}
+	for topic, list := range s.records {
+		copied[topic] = slices.Clone(list)
+	}
+	return copied
+}
+
+// restore replaces all records by those of a snapshot and begins a new era.
+func (s *store) restore(snapshot map[sequoialead.Topic][]sequoialead.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = map[sequoialead.Topic][]sequoialead.Item{}
+	for topic, list := range snapshot {
+		s.records[topic] = slices.Clone(list)
+	}
+	s.era++
+}
+
 func (s *store) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,13 +99,13 @@
 	defer s.mu.Unlock()
 	s.newestReads++
 	if s.down {
-		return sequoialead.Page{}, sequoialead.ErrPlatform.New("down")
+		return sequoialead.Page{Era: s.era}, sequoialead.ErrPlatform.New("down")
 	}
 	newest := map[string]sequoialead.Item{}
 	for _, item := range s.records[topic] {
 		newest[item.Key] = item
 	}
-	page := sequoialead.Page{Next: uint64(len(s.records[topic]))}
+	page := sequoialead.Page{Era: s.era, Next: uint64(len(s.records[topic]))}
 	for _, item := range newest {
 		if len(item.Value) > 0 {
 			page.Items = append(page.Items, item)
@@ -99,14 +124,14 @@
 	}
 	switch {
 	case s.down:
-		return sequoialead.Page{}, sequoialead.ErrPlatform.New("down")
-	case from < s.firstOffset && topic == sequoialead.TopicOperator:
-		return sequoialead.Page{}, sequoialead.ErrGone.New("gone")
+		return sequoialead.Page{Era: s.era}, sequoialead.ErrPlatform.New("down")
+	case from < s.firstOffset && topic == sequoialead.TopicOperator, from > uint64(len(s.records[topic])):
+		return sequoialead.Page{Era: s.era}, sequoialead.ErrGone.New("gone")
 	case s.stale && from > 0:
-		return sequoialead.Page{Next: from - 1}, nil
+		return sequoialead.Page{Era: s.era, Next: from - 1}, nil
 	}
 	list := s.records[topic]
-	page := sequoialead.Page{Next: uint64(len(list)), End: uint64(len(list))}
+	page := sequoialead.Page{Era: s.era, Next: uint64(len(list)), End: uint64(len(list))}
 	if s.pageLimit != 0 {
 		page.Next = min(page.Next, from+uint64(max(s.pageLimit, 0)))
 	}
@@ -117,13 +142,13 @@
 }
 
 func (s *store) Put(_ context.Context, topic sequoialead.Topic, key string, value []byte) (sequoialead.Era, error) {
-	down := false
-	s.set(func() { down = s.down })
+	down, era := false, sequoialead.Era(0)
+	s.set(func() { down, era = s.down, s.era })
 	if down {
-		return 0, sequoialead.ErrPlatform.New("down")
+		return era, sequoialead.ErrPlatform.New("down")
 	}
 	s.put(topic, key, string(value))
-	return 0, nil
+	return era, nil
 }
 
 // decoder decodes text that starts with a digit as the configuration of that
