watch: read topics anew when the store's era rises

Cause: a topic that has grown to its old end again before the next read answers that read with 200. The records that were given out again before the old end were never read, and the empty answer renewed the lease.

The watcher keeps the newest era that an answer to a read or an append has told, or another entry. When it rises, all followers read the newest record of each key at once. Answers of an older era are dropped, as are pages of another era from other entries. A conditional append counts only in the era of the read that it is based on.

--- a/core/protocol/protocol.go
+++ b/core/protocol/protocol.go
@@ -194,6 +194,8 @@
 	ID    uint64            `cbor:"1,keyasint"`
 	Topic sequoialead.Topic `cbor:"2,keyasint"`
 	From  uint64            `cbor:"3,keyasint"`
+	// Era is that of From.
+	Era sequoialead.Era `cbor:"4,keyasint,omitempty"`
 }
 
 // RecordsResponse answers a RecordsRequest.
@@ -206,4 +208,7 @@
 	Next uint64 `cbor:"4,keyasint,omitempty"`
 	// Age is the time since the start of the entry's latest read of the store.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// Era is the newest era of the store that the entry knows; if Complete is set, that of
+	// the records.
+	Era sequoialead.Era `cbor:"6,keyasint,omitempty"`
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -93,19 +93,22 @@
 
 // Read asks other entries for the records of a topic from an offset on, as read
 // from the store at most age ago. It returns the name of the entry that
-// answered, and reports false if this entry should read the store itself. The
+// answered, and reports false if this entry should read the store itself; the response then
+// tells only the newest era of the store that an entry has told. The
 // caller must take the age in the response as of the time the request was sent,
 // so that the time in transit can't make records seem newer than they are.
 func (r *Relay) Read(ctx context.Context, request protocol.RecordsRequest, entries []membership.Member, age time.Duration) (response protocol.RecordsResponse, from string, ok bool) {
 	for _, name := range r.rank(request.Topic, entries, maxCandidates, false) {
 		if name == r.opts.Self.Name {
-			return protocol.RecordsResponse{}, "", false
+			break
 		}
-		if response, ok := r.queryEntry(ctx, name, request, age); ok {
-			return response, name, true
+		answer, ok := r.queryEntry(ctx, name, request, age)
+		if ok {
+			return answer, name, true
 		}
+		response.Era = max(response.Era, answer.Era)
 	}
-	return protocol.RecordsResponse{}, "", false
+	return response, "", false
 }
 
 // ReadAny is like Read, but asks other entries even if this entry is the reader.
@@ -122,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	response, ok := r.opts.Peers.QueryRecords(ctx, name, request)
-	stale := response.Complete && response.Age > age
+	stale := response.Complete && response.Age > age || response.Era < request.Era
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
@@ -135,7 +138,7 @@
 	case stale:
 		r.staleUntil[name] = now.Add(stalePeriod)
 	}
-	return response, ok && !stale && response.Complete
+	return response, ok && !stale && response.Complete && response.Era == request.Era
 }
 
 // rank returns up to count entries to ask for a topic, in order of preference.
--- a/core/watch/era_test.go
+++ b/core/watch/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -74,3 +75,41 @@
 		c.Assert(w.Usable(time.Now()), qt.HasLen, 1)
 	})
 }
+
+// Guards against records that are never read after the store came back from an older copy,
+// because the topic had grown to its old end again, or past it, before the next read: the
+// store then answers that read without an error.
+func TestTopicRegrownBeforeNextRead(t *testing.T) {
+	for _, later := range []int{0, 1, 3} {
+		t.Run(fmt.Sprint(later), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newEraStore()
+				w := newEraWatcher(t, "e", s, &siblings{})
+				older := s.snapshot()
+				s.put(sequoialead.TopicOperator, "config", "2")
+				s.put(sequoialead.TopicOperator, "config", "3")
+				s.put(sequoialead.TopicServers, "s", "draft")
+				s.put(sequoialead.TopicServers, "s", "draft")
+				time.Sleep(eraApply)
+				c.Assert(version(w), qt.Equals, sequoialead.Version(3))
+
+				s.restore(older)
+				s.put(sequoialead.TopicOperator, "config", "3")
+				s.put(sequoialead.TopicOperator, "config", "4")
+				s.put(sequoialead.TopicServers, "s", "")
+				s.put(sequoialead.TopicServers, "other", "draft")
+				for range later {
+					s.put(sequoialead.TopicOperator, "other", "x")
+					s.put(sequoialead.TopicServers, "other", "draft")
+				}
+				time.Sleep(eraApply)
+				c.Assert(version(w), qt.Equals, sequoialead.Version(4))
+				time.Sleep(eraDrain)
+				servers := w.Usable(time.Now())
+				c.Assert(servers, qt.HasLen, 1)
+				c.Assert(servers[0].Server.ID, qt.Equals, "other")
+			})
+		})
+	}
+}
--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -41,8 +41,8 @@
 	// the store.
 	source string
 
-	// next is the offset to read from, valid if synced is set. synced is set
-	// once the newest record of every key has been read. recordCache holds the
+	// next is the offset to read from, valid if synced is set and era is that of the watcher.
+	// synced is set once the newest record of every key has been read. recordCache holds the
 	// latest records before next. The follower modifies these three with the
 	// watcher's lock held.
 	next        uint64
@@ -81,7 +81,7 @@
 	for f.watcher.tomb.Alive() {
 		if f.active != nil && !f.active() {
 			f.markUnsynced() // the newest records are enough when it becomes active again
-			f.sleep(activePollInterval, nil)
+			f.sleep(activePollInterval, nil, nil)
 			continue
 		}
 		recovered := f.watcher.storeRecovered()
@@ -94,7 +94,10 @@
 				continue
 			}
 			f.reads++
-			f.sleep(f.nextInterval(entries)-f.watcher.opts.Now().Sub(started), nil)
+			eraRaised := f.watcher.storeEraRaised()
+			if f.isSynced() {
+				f.sleep(f.nextInterval(entries)-f.watcher.opts.Now().Sub(started), nil, eraRaised)
+			}
 			continue
 		}
 		nextTry := f.watcher.storeWait()
@@ -103,7 +106,7 @@
 		} else {
 			nextTry = f.untilOwnRead()
 		}
-		f.sleep(min(retryBackoff.NextBackOff(), max(nextTry, retryMin)), recovered)
+		f.sleep(min(retryBackoff.NextBackOff(), max(nextTry, retryMin)), recovered, f.watcher.storeEraRaised())
 	}
 	return nil
 }
@@ -128,8 +131,8 @@
 	return f.ageLimit(ownReadAge) - age
 }
 
-// sleep returns after d, or once wakeup is closed.
-func (f *follower) sleep(d time.Duration, wakeup <-chan struct{}) {
+// sleep returns after d, or once one of the channels is closed.
+func (f *follower) sleep(d time.Duration, recovered, eraRaised <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -140,7 +143,8 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-wakeup:
+	case <-recovered:
+	case <-eraRaised:
 	case <-f.watcher.tomb.Dying():
 	}
 }
@@ -152,27 +156,29 @@
 func (f *follower) read(started time.Time, entries []membership.Member) (done bool, err error) {
 	relay := f.watcher.opts.Relay
 	background := f.watcher.tomb.Context(context.Background())
-	request := protocol.RecordsRequest{Topic: f.topic, From: f.next}
+	request := protocol.RecordsRequest{Topic: f.topic, From: f.next, Era: f.era}
 	rank := 0
-	if f.synced && !f.behind {
-		if response, from, ok := relay.Read(background, request, entries, f.ageLimit(maxRelayAge)); ok {
-			f.applyRelayed(response, from, started)
-			return true, nil
+	if f.isSynced() && !f.behind {
+		response, from, ok := relay.Read(background, request, entries, f.ageLimit(maxRelayAge))
+		if ok {
+			return f.applyRelayed(response, from, started)
 		}
+		f.watcher.noteEra(response.Era)
 		rank = relay.Rank(f.topic, entries)
-		if rank > 0 && !relay.IsReader(f.topic, entries) && f.lease.Valid(started, f.ageLimit(ownReadAge)) {
+		if f.isSynced() && rank > 0 && !relay.IsReader(f.topic, entries) && f.lease.Valid(started, f.ageLimit(ownReadAge)) {
 			return false, nil
 		}
 	}
 	err = f.tryStore(background, rank)
-	if err == nil || !f.synced || !f.watcher.tomb.Alive() {
+	if err == nil || !f.isSynced() || !f.watcher.tomb.Alive() {
 		return err == nil, err
 	}
 	now := f.watcher.opts.Now()
-	if response, from, ok := relay.ReadAny(background, request, entries, f.ageLimit(maxReadAnyAge)); ok {
-		f.applyRelayed(response, from, now)
-		return true, nil
+	response, from, ok := relay.ReadAny(background, request, entries, f.ageLimit(maxReadAnyAge))
+	if ok {
+		return f.applyRelayed(response, from, now)
 	}
+	f.watcher.noteEra(response.Era)
 	return false, err
 }
 
@@ -195,31 +201,46 @@
 }
 
 // applyRelayed applies records that another entry returned to a request sent at
-// askedAt.
-func (f *follower) applyRelayed(response protocol.RecordsResponse, from string, askedAt time.Time) {
+// askedAt. It returns the results of read.
+func (f *follower) applyRelayed(response protocol.RecordsResponse, from string, askedAt time.Time) (done bool, err error) {
 	f.setSource(from)
-	f.applyPage(sequoialead.Page{Era: f.era, Items: response.Items, Next: response.Next}, false, askedAt.Add(-response.Age))
+	err = f.applyPage(sequoialead.Page{Era: response.Era, Items: response.Items, Next: response.Next}, false, askedAt.Add(-response.Age))
+	return err == nil, err
+}
+
+// isSynced reports whether next is valid.
+func (f *follower) isSynced() bool {
+	f.watcher.mu.Lock()
+	defer f.watcher.mu.Unlock()
+	return f.synced && f.era == f.watcher.era
 }
 
 // readStore reads the topic from the store. started is when the read began.
 func (f *follower) readStore(ctx context.Context, started time.Time) error {
-	complete := !f.synced || f.skipHistory
+	complete := !f.isSynced() || f.skipHistory
 	var page sequoialead.Page
 	var err error
 	if complete {
 		page, err = f.watcher.opts.Store.Newest(ctx, f.topic)
 	} else {
 		page, err = f.watcher.opts.Store.Since(ctx, f.topic, f.next)
-		if errorx.IsOfType(err, sequoialead.ErrGone) {
-			f.watcher.opts.Log.Info("history-gone", "topic", f.topic, "from", f.next)
-			f.markUnsynced()
-			return f.readStore(ctx, started)
-		}
 	}
-	if err != nil {
+	current := f.watcher.noteEra(page.Era)
+	switch {
+	case errorx.IsOfType(err, sequoialead.ErrGone):
+		f.watcher.opts.Log.Info("history-gone", "topic", f.topic, "from", f.next)
+		f.markUnsynced()
+		return f.readStore(ctx, started)
+	case err != nil:
 		return err
+	case !current:
+		return f.watcher.errOldEra(page.Era)
+	case !complete && page.Era != f.era:
+		// The offset that was read from is not one of this era, so the records before it
+		// may be others now.
+		return f.readStore(ctx, started)
 	}
-	if f.synced && page.Next < f.next {
+	if f.synced && page.Era == f.era && page.Next < f.next {
 		f.watcher.opts.Log.Info("stale-read", "topic", f.topic, "next", f.next, "got", page.Next)
 		f.behind = false
 		return nil
@@ -234,8 +255,7 @@
 		f.skipHistory = false
 	}
 	f.setSource("")
-	f.applyPage(page, complete, started)
-	return nil
+	return f.applyPage(page, complete, started)
 }
 
 // countKeys returns the number of different keys of records.
@@ -255,8 +275,9 @@
 }
 
 // applyPage applies a page whose read from the store began at started. A part of the records
-// asked for doesn't renew the lease, since it says nothing about those that are missing.
-func (f *follower) applyPage(page sequoialead.Page, complete bool, started time.Time) {
+// asked for doesn't renew the lease, since it says nothing about those that are missing. The
+// error says that the page is of an older era than one that became known meanwhile.
+func (f *follower) applyPage(page sequoialead.Page, complete bool, started time.Time) error {
 	origin := "store"
 	if f.source != "" {
 		origin = "entry"
@@ -264,6 +285,10 @@
 	f.watcher.opts.Metrics.GetOrCreateCounter(fmt.Sprintf(`sequoialead_reads_total{topic=%q,from=%q}`, f.topic, origin)).Inc()
 	now := f.watcher.opts.Now()
 	f.watcher.mu.Lock()
+	if page.Era != f.watcher.era {
+		f.watcher.mu.Unlock()
+		return f.watcher.errOldEra(page.Era)
+	}
 	if page.Era != f.era {
 		f.era = page.Era
 		if f.restart != nil {
@@ -293,6 +318,7 @@
 	if len(page.Items) > 0 {
 		f.watcher.opts.OnChange()
 	}
+	return nil
 }
 
 // setSource records where the records come from, and logs a change.
--- a/core/watch/publish.go
+++ b/core/watch/publish.go
@@ -70,7 +70,8 @@
 func (w *Watcher) put(topic sequoialead.Topic, record []byte) error {
 	ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), readTimeout)
 	defer cancel()
-	_, err := w.opts.Store.Put(ctx, topic, w.opts.Self.Name, record)
+	era, err := w.opts.Store.Put(ctx, topic, w.opts.Self.Name, record)
+	w.noteEra(era)
 	return err
 }
 
--- a/core/watch/rollouts.go
+++ b/core/watch/rollouts.go
@@ -185,22 +185,29 @@
 	ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), w.timeout())
 	defer cancel()
 	page, err := w.opts.Store.Newest(ctx, sequoialead.TopicStatus)
+	current := w.noteEra(page.Era)
 	if err != nil {
 		return err
 	}
+	if !current {
+		return w.errOldEra(page.Era)
+	}
 	w.applyStatus(page, true, w.opts.Now())
 	for pool, wanted := range w.opts.Rollouts.Wanted() {
 		key, raw, err := w.opts.RolloutDecoder.EncodeRolloutStatus(pool, wanted[0], wanted[1])
 		if err != nil {
 			return err
 		}
-		ok, _, err := w.opts.Revisions.PutAt(ctx, sequoialead.TopicStatus, key, raw, page.Next)
+		ok, era, err := w.opts.Revisions.PutAt(ctx, sequoialead.TopicStatus, key, raw, page.Next)
+		w.noteEra(era)
 		if err != nil {
 			return err
 		}
+		// In another era the topic ends at the same offset by chance.
+		ok = ok && era == page.Era
 		w.opts.Log.Info("rollout-write", "pool", pool, "target", wanted[0], "state", wanted[1], "end", page.Next, "written", ok)
 		if !ok {
-			return nil // the topic has grown; read again
+			return nil // the topic is no longer as it was read; read again
 		}
 		page.Next++
 		w.opts.Rollouts.ApplyStatus(pool, wanted[0], wanted[1])
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -91,7 +91,8 @@
 	Rank(topic sequoialead.Topic, entries []membership.Member) int
 	// Read asks the entries that read for the others. ReadAny asks any other entry
 	// after a failed read of the store. Both ignore responses older than age, and
-	// report false if there is no usable response.
+	// report false if there is no usable response; the response then tells only the newest
+	// era that an entry has told.
 	Read(ctx context.Context, request protocol.RecordsRequest, entries []membership.Member, age time.Duration) (response protocol.RecordsResponse, from string, ok bool)
 	ReadAny(ctx context.Context, request protocol.RecordsRequest, entries []membership.Member, age time.Duration) (response protocol.RecordsResponse, from string, ok bool)
 }
@@ -202,6 +203,10 @@
 	// replaced, once it can be read again.
 	gate      *storegate.Gate
 	recovered chan struct{}
+	// era is the newest era of the store that is known. eraRaised is closed, and replaced,
+	// when it rises.
+	era       sequoialead.Era
+	eraRaised chan struct{}
 }
 
 var _ sequoialead.Service = (*Watcher)(nil)
@@ -217,6 +222,7 @@
 		offsets:      map[string]uint64{},
 		followers:    map[sequoialead.Topic]*follower{},
 		recovered:    make(chan struct{}),
+		eraRaised:    make(chan struct{}),
 	}
 	w.gate = storegate.New(storegate.Options{Min: retryMin, Max: retryMax, Limit: max(w.operatorInterval(), retryMax)})
 	return w
@@ -346,15 +352,17 @@
 }
 
 // RecordsSince answers another entry's request for a topic's records. The
-// response's Complete is false if this entry lacks some of them.
+// response's Complete is false if this entry lacks some of them, or has read them in another
+// era of the store than the other entry.
 func (w *Watcher) RecordsSince(request protocol.RecordsRequest) protocol.RecordsResponse {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.noteEraLocked(request.Era)
 	f := w.followers[request.Topic]
-	if f == nil || !f.synced || request.From > f.next {
-		return protocol.RecordsResponse{}
+	if f == nil || !f.synced || f.era != w.era || request.Era != w.era || request.From > f.next {
+		return protocol.RecordsResponse{Era: w.era}
 	}
 	age, read := f.lease.Age(w.opts.Now())
 	items, ok := f.recordCache.Since(request.From)
-	return protocol.RecordsResponse{Complete: read && ok, Items: items, Next: f.next, Age: age}
+	return protocol.RecordsResponse{Complete: read && ok, Items: items, Next: f.next, Age: age, Era: f.era}
 }
--- a/testscripts/restore_test.go
+++ b/testscripts/restore_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"sequoialead/fake/backend"
 	"sequoialead/fake/store"
 )
 
@@ -64,3 +66,33 @@
 		c.Check(status, qt.Equals, 200)
 	}
 }
+
+// TestRouteMovedAfterReturnOfStore guards against a version that is never read, because the
+// operator's topic had grown to its old end again before the next read, so that the store
+// answered it without an error.
+func TestRouteMovedAfterReturnOfStore(t *testing.T) {
+	c := qt.New(t)
+	g := newGateways(t, 2)
+	g.addBackend("other-1", "other", backend.Options{Slots: 4})
+	older := g.store.Snapshot()
+	g.configure(5, 500, `,"k2"`)
+	time.Sleep(restoreSettle)
+	g.configure(8, 500, `,"k2","k3"`)
+	for _, p := range g.procs {
+		g.waitForStatus(p, "k3", 200)
+	}
+	g.store.Restore(older)
+	g.configure(8, 500, `,"k2","k3"`)
+	moved := strings.ReplaceAll(fmt.Sprintf(configTemplate, 9, 500, `,"k3"`), `"service":"desk"`, `"service":"other"`)
+	g.store.Put("keyed.op", "config", []byte(strings.Replace(moved, `{"name":"desk",`, `{"name":"other","max_conns":50},{"name":"desk",`, 1)))
+	time.Sleep(restoreSettle)
+	before := len(g.backends["desk-1"].Arrivals()) + len(g.backends["desk-2"].Arrivals())
+	for i, p := range g.procs {
+		for n := range 20 {
+			status, _, _ := g.sendRequest(p, "GET", "/check/", fmt.Sprintf("moved%d-%d", i, n), "k3")
+			c.Check(status, qt.Equals, 200)
+		}
+	}
+	c.Check(len(g.backends["desk-1"].Arrivals())+len(g.backends["desk-2"].Arrivals()), qt.Equals, before)
+	c.Check(g.backends["other-1"].Arrivals(), qt.HasLen, 40)
+}
