serverset: begin offsets anew when the store's era rises

Cause: a record was left out if its offset was below the last one of the same server, which came from before the return.

Offsets now hold for one era. The first complete read of an era holds records of the copy, so it is compared with what is known: a server that is missing may come back for two seconds, and a record of the same or an earlier process doesn't undo that it leaves or is gone until the server writes again. A deleted server is remembered from its deletion on, not from its last record.

--- a/core/serverset/serverset.go
+++ b/core/serverset/serverset.go
@@ -14,6 +14,11 @@
 // this time.
 const settlePeriod = 2 * time.Second
 
+// copiedDelay is the time after which a server that was gone is taken for running because an
+// older copy of the store lists it. By then a running server has written its record again, and
+// that of a server that has ended has expired.
+const copiedDelay = 10 * time.Second
+
 // Record is one change of a backend server's record in the store.
 type Record struct {
 	ID     string
@@ -53,9 +58,15 @@
 	offset uint64
 	// gone is set if the newest record deletes the backend server.
 	gone bool
+	// goneAt is when that record was read.
+	goneAt time.Time
 	// lapsed is set if it was deleted while the store was unavailable or shortly
 	// after.
 	lapsed bool
+	// copied is the record of a server that is gone in the copy that the store came back
+	// from at copiedAt; nil if it has none there, or if a newer record has been read since.
+	copied   *sequoialead.Server
+	copiedAt time.Time
 }
 
 // Set is the set of backend servers that the records list. It is not safe for
@@ -67,6 +78,8 @@
 	// storeRecoveredAt is when the store last became available again; zero if it
 	// never was unavailable.
 	storeRecoveredAt time.Time
+	// restarted is set from Restart to the next Replace.
+	restarted bool
 	// evacuated maps the evacuated failure domains, whose backend servers get no
 	// new requests, to the offset of the record that evacuated them.
 	evacuated map[string]uint64
@@ -92,6 +105,50 @@
 	}
 }
 
+// Restart must be called before records of another era of the store are applied, the first of
+// which must come from a complete read. The store has come back from an older copy: offsets
+// don't continue, servers that started since have to write their records again, and records
+// of the copy may be older than what is known.
+func (set *Set) Restart(now time.Time) {
+	if len(set.servers) == 0 {
+		return
+	}
+	set.restarted = true
+	set.storeRecoveredAt = now
+	for _, s := range set.servers {
+		s.offset = 0
+	}
+}
+
+// applyCopied applies a record of the first complete read after Restart. It may be newer or
+// older than what is known. A server that leaves doesn't stay, and one that has ended doesn't
+// run again under the same start time, unless it writes its record again.
+func (set *Set) applyCopied(rec Record, now time.Time) Change {
+	s := set.servers[rec.ID]
+	if s == nil || rec.Server == nil || rec.Unreadable || rec.Server.StartedAt.After(s.Server.StartedAt) {
+		return set.Apply(rec, now)
+	}
+	s.offset = rec.Offset
+	switch {
+	case rec.Server.StartedAt.Before(s.Server.StartedAt):
+		return ChangeNone
+	case s.gone:
+		if !s.Server.Leaving {
+			s.copied, s.copiedAt = rec.Server, now
+		}
+		return ChangeNone
+	}
+	server := *rec.Server
+	server.ColdLeft = min(server.ColdLeft, max(s.ReadAt.Add(s.Server.ColdLeft).Sub(now), 0))
+	change := ChangeNone
+	if server.Leaving && !s.Server.Leaving {
+		change = ChangeLeaving
+	}
+	server.Leaving = server.Leaving || s.Server.Leaving
+	s.Server, s.ReadAt = server, now
+	return change
+}
+
 // Apply applies one record. Records older than the last one of the same backend
 // server change nothing.
 func (set *Set) Apply(rec Record, now time.Time) Change {
@@ -123,15 +180,16 @@
 	s.Server = *rec.Server
 	s.ReadAt = now
 	s.offset = rec.Offset
-	s.gone, s.lapsed = false, false
+	s.gone, s.lapsed, s.copied = false, false, nil
 	return change
 }
 
 func (set *Set) remove(s *serverState, now time.Time) Change {
+	s.copied = nil
 	if s.gone {
 		return ChangeNone
 	}
-	s.gone = true
+	s.gone, s.goneAt = true, now
 	s.lapsed = set.settling(now) && !s.Server.Leaving
 	if s.lapsed {
 		return ChangeLapsed
@@ -149,10 +207,15 @@
 // the changes by ID. Backend servers that are missing there have been deleted.
 func (set *Set) Replace(records []Record, now time.Time) map[string]Change {
 	changes := map[string]Change{}
+	apply := set.Apply
+	if set.restarted {
+		set.restarted = false
+		apply = set.applyCopied
+	}
 	present := make(map[string]bool, len(records))
 	for _, rec := range records {
 		present[rec.ID] = true
-		changes[rec.ID] = set.Apply(rec, now)
+		changes[rec.ID] = apply(rec, now)
 	}
 	for id, s := range set.servers {
 		if !present[id] {
@@ -194,6 +257,9 @@
 	usable := make([]Member, 0, len(set.servers))
 	for id, s := range set.servers {
 		settling := set.settling(now)
+		if s.copied != nil && now.Sub(s.copiedAt) >= copiedDelay {
+			s.Member, s.gone, s.copied = Member{Server: *s.copied, ReadAt: s.copiedAt}, false, nil
+		}
 		if s.gone && !settling {
 			set.expire(id, s, now)
 		}
@@ -208,12 +274,12 @@
 	return usable
 }
 
-// offsetRetention is how long the offset of a deleted backend server is kept,
-// so that an older record that is read late doesn't bring it back.
+// offsetRetention is how long a deleted backend server is known, so that an older record that
+// is read late, or that an older copy of the store holds, doesn't bring it back.
 const offsetRetention = time.Minute
 
 func (set *Set) expire(id string, s *serverState, now time.Time) {
-	if now.Sub(s.ReadAt) > offsetRetention {
+	if s.copied == nil && now.Sub(s.goneAt) > offsetRetention {
 		delete(set.servers, id)
 	}
 }
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -234,7 +234,7 @@
 		topic: sequoialead.TopicOperator, interval: w.operatorInterval(), apply: w.applyOperator, restart: w.restartOperator, lease: w.lease,
 	})
 	w.follow(&follower{
-		topic: sequoialead.TopicServers, interval: time.Duration(serversShare * float64(w.opts.Drain)), apply: w.applyServers, lease: w.serversLease,
+		topic: sequoialead.TopicServers, interval: time.Duration(serversShare * float64(w.opts.Drain)), apply: w.applyServers, restart: w.servers.Restart, lease: w.serversLease,
 	})
 	w.follow(&follower{
 		topic: sequoialead.TopicEntries, interval: entriesInterval, firstInterval: entriesFirstInterval, apply: w.applyEntries, lease: lease.New(),
--- a/testscripts/restore_test.go
+++ b/testscripts/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,8 @@
 	// restoreSettle is the time after the return of the store until all processes are in
 	// touch with it again.
 	restoreSettle = 3 * time.Second
+	// drainTimeout is the time within which a server that leaves must get no more requests.
+	drainTimeout = 2 * time.Second
 )
 
 // restore lets the store be away for a moment and come back from a snapshot.
@@ -96,3 +99,54 @@
 	c.Check(len(g.backends["desk-1"].Arrivals())+len(g.backends["desk-2"].Arrivals()), qt.Equals, before)
 	c.Check(g.backends["other-1"].Arrivals(), qt.HasLen, 40)
 }
+
+// TestServersLeaveAfterReturnOfStore guards against requests to a server that leaves, or whose
+// record is deleted, after the store came back from an older copy, because its record got an
+// offset below that of its record from before.
+func TestServersLeaveAfterReturnOfStore(t *testing.T) {
+	c := qt.New(t)
+	g := newGateways(t, 2)
+	opts := backend.Options{Slots: 4, ServiceTime: 50 * time.Millisecond}
+	for _, id := range []string{"desk-3", "desk-4"} {
+		g.addBackend(id, "desk", opts)
+	}
+	write := func(id, state string) { g.putBackendRecord(id, "desk", g.backendOptions[id], state) }
+	arrivals := func(id string) int { return len(g.backends[id].Arrivals()) }
+	send := func(prefix string) {
+		for round := range 10 {
+			var sent sync.WaitGroup
+			for i, p := range g.procs {
+				for n := range 4 {
+					sent.Go(func() {
+						status, _, _ := g.sendRequest(p, "GET", "/check/", fmt.Sprintf("%s%d-%d-%d", prefix, round, i, n), "k1")
+						c.Check(status, qt.Equals, 200)
+					})
+				}
+			}
+			sent.Wait()
+		}
+	}
+	older := g.store.Snapshot()
+	for range 5 {
+		for _, id := range []string{"desk-1", "desk-2", "desk-3", "desk-4"} {
+			write(id, "ready")
+		}
+	}
+	g.addBackend("desk-5", "desk", opts) // its record isn't in the copy
+	time.Sleep(restoreSettle)
+	g.restore(older)
+	send("live") // all servers are used through the return
+	for _, id := range []string{"desk-1", "desk-2", "desk-3", "desk-4", "desk-5"} {
+		c.Check(arrivals(id) > 0, qt.IsTrue, qt.Commentf("%s", id))
+	}
+	write("desk-5", "ready")
+	time.Sleep(restoreSettle)
+	write("desk-1", "draining")
+	g.store.Put("keyed.servers", "desk-2", nil)
+	time.Sleep(drainTimeout)
+	before := []int{arrivals("desk-1"), arrivals("desk-2"), arrivals("desk-5")}
+	send("left")
+	c.Check(arrivals("desk-1"), qt.Equals, before[0])
+	c.Check(arrivals("desk-2"), qt.Equals, before[1])
+	c.Check(arrivals("desk-5") > before[2], qt.IsTrue)
+}
