watch, relay: test reads and relayed records across eras of the store

Late answers from before a return, entries of which only one has noticed it, entries that don't tell eras, and two returns within seconds.

--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 // means no answer.
 type fakePeers struct {
 	ages       map[string]time.Duration
+	eras       map[string]sequoialead.Era
 	incomplete bool
 	asked      []string
 }
@@ -29,7 +31,7 @@
 	if p.ages[name] < 0 {
 		return protocol.RecordsResponse{}, false
 	}
-	return protocol.RecordsResponse{Complete: !p.incomplete, Next: request.From, Age: p.ages[name]}, true
+	return protocol.RecordsResponse{Complete: !p.incomplete, Next: request.From, Age: p.ages[name], Era: p.eras[name]}, true
 }
 
 func newEntries(n int) []membership.Member {
@@ -195,3 +197,51 @@
 	}
 	c.Assert(len(p.asked) >= 4, qt.IsTrue)
 }
+
+// Records of another era of the store than the asked one are not used, and the newest era is
+// told. An entry of an older era is skipped for a while, one of a newer era is not.
+func TestReadWithinEra(t *testing.T) {
+	tests := []struct {
+		desc string
+		eras []sequoialead.Era
+		// from is the index of the entry that the records come from; -1 for none.
+		from int
+		told sequoialead.Era
+		// askedAgain is the number of entries asked by a second read.
+		askedAgain int
+	}{
+		{"same era", []sequoialead.Era{4, 4}, 0, 4, 1},
+		{"the first is behind", []sequoialead.Era{3, 4}, 1, 4, 1},
+		{"the first doesn't tell", []sequoialead.Era{0, 4}, 1, 4, 1},
+		{"the first is ahead", []sequoialead.Era{5, 4}, 1, 4, 2},
+		{"both are ahead", []sequoialead.Era{5, 6}, -1, 6, 2},
+		{"both are behind", []sequoialead.Era{3, 3}, -1, 3, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			entries := newEntries(3)
+			now := time.Unix(1000, 0)
+			ages := map[string]time.Duration{"e0": 0, "e1": 0, "e2": 0}
+			order := &fakePeers{ages: ages, incomplete: true}
+			r := relay.New(relay.Options{Self: membership.Member{Name: "self"}, Peers: order, Now: func() time.Time { return now }})
+			_, _, ok := r.Read(context.Background(), protocol.RecordsRequest{Topic: topic}, entries, time.Second)
+			c.Assert(ok, qt.IsFalse)
+			c.Assert(order.asked, qt.HasLen, 2)
+
+			peers := &fakePeers{ages: ages, eras: map[string]sequoialead.Era{order.asked[0]: test.eras[0], order.asked[1]: test.eras[1]}}
+			r = relay.New(relay.Options{Self: membership.Member{Name: "self"}, Peers: peers, Now: func() time.Time { return now }})
+			entries = slices.DeleteFunc(entries, func(e membership.Member) bool { return !slices.Contains(order.asked, e.Name) })
+			response, from, ok := r.Read(context.Background(), protocol.RecordsRequest{Topic: topic, Era: 4}, entries, time.Second)
+			c.Assert(ok, qt.Equals, test.from >= 0)
+			if ok {
+				c.Assert(from, qt.Equals, order.asked[test.from])
+			}
+			c.Assert(response.Complete, qt.Equals, ok)
+			c.Assert(response.Era, qt.Equals, test.told)
+			peers.asked = nil
+			_, _, _ = r.Read(context.Background(), protocol.RecordsRequest{Topic: topic, Era: 4}, entries, time.Second)
+			c.Assert(peers.asked, qt.HasLen, test.askedAgain)
+		})
+	}
+}
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -211,7 +211,7 @@
 	}
 	response := w.RecordsSince(request)
 	response.Age += m.extraAge
-	return response, "sibling", response.Complete && response.Age <= age
+	return response, "sibling", response.Complete && response.Age <= age && response.Era == request.Era
 }
 
 func newWatcher(t *testing.T, s *store) *watch.Watcher { return newWatcherWith(t, s, &siblings{}) }
