--- a/core/watch/era_test.go
+++ b/core/watch/era_test.go
@@ -178,8 +178,8 @@
 		// cutOff is the entry that can't reach the store at first.
 		cutOff func(reader, w *store)
 	}{
-		{"the reader hasn't noticed", func(reader, _ *store) { reader.down = true }},
-		{"the other entry hasn't noticed", func(_, w *store) { w.down = true }},
+		{"the reader hasn't noticed", func(reader, _ *store) { reader.set(func() { reader.down = true }) }},
+		{"the other entry hasn't noticed", func(_, w *store) { w.set(func() { w.down = true }) }},
 		{"both have noticed", func(_, _ *store) {}},
 	}
 	for _, test := range tests {
