watch: keep reads of TestRecordsWaitForNextReader apart

Its two entries read, and the reader is lost, at the same instants, so that the order of goroutines decided how old the records were when the reader was lost: up to 1.5 s, from which on 0.7 s without a reader are too long and the entry rightly reads the store.

The reads and the loss now have distances of 100 ms.

--- a/core/watch/outage_test.go
+++ b/core/watch/outage_test.go
@@ -73,8 +73,10 @@
 		c := qt.New(t)
 		reader, _ := newFleetWatcher(t, &siblings{isReader: true})
 		m := &siblings{reader: reader, rank: 1}
+		// Neither entry reads at the instant at which the other reads or the reader is lost.
+		time.Sleep(100 * time.Millisecond)
 		w, own := newFleetWatcher(t, m)
-		time.Sleep(3 * time.Second)
+		time.Sleep(3100 * time.Millisecond)
 		own.set(func() { own.reads = 0 })
 		m.lose(true)
 		time.Sleep(700 * time.Millisecond)
