watch: keep evacuations and orders that the store has lost

After the store came back from a copy that lacks an evacuation, requests went to the evacuated domain until the operator had written it again. An order of a roll-out ended in the same way.

Cause: a complete read ends what has no record there. That is right for a record that was deleted, and wrong for one that the store has lost.

The watcher keeps the era of each of the operator's records.

--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -11,29 +11,45 @@
 )
 
 // applyOperator applies the operator's records. After a complete read, domains
-// without an evacuation record are no longer evacuated.
+// without an evacuation record are no longer evacuated, unless their record is kept.
 func (w *Watcher) applyOperator(page sequoialead.Page, complete bool, now time.Time) {
 	keys := map[string]bool{}
 	for _, item := range page.Items {
 		keys[item.Key] = true
-		if applied, ok := w.offsets[item.Key]; ok && item.Offset <= applied {
+		if applied, ok := w.operator[item.Key]; ok && applied.era == page.Era && item.Offset <= applied.offset {
 			continue
 		}
-		w.offsets[item.Key] = item.Offset
 		configuration, domain := w.opts.Decoder.Operator(item.Key)
 		switch {
 		case configuration:
-			w.applyConfig(item)
+			if !w.applyConfig(item) {
+				continue
+			}
 		case domain != "":
 			w.servers.Evacuate(domain, len(item.Value) > 0, item.Offset)
 			w.opts.Log.Info("evacuate", "domain", domain, "out", len(item.Value) > 0, "offset", item.Offset)
 		case w.applyOrder(item, now):
 		default:
 			w.opts.Log.Info("record-skipped", "topic", sequoialead.TopicOperator, "key", item.Key)
+			continue
 		}
+		w.operator[item.Key] = operatorRecord{offset: item.Offset, era: page.Era, value: item.Value}
 	}
-	if !complete {
-		return
+	if complete {
+		w.dropMissing(keys, page)
+	}
+	w.expireKept(page, now)
+}
+
+// dropMissing ends what the operator's records of this era asked for that are not among the
+// keys of a complete read.
+func (w *Watcher) dropMissing(keys map[string]bool, page sequoialead.Page) {
+	for key, record := range w.operator {
+		if keys[key] || record.era == page.Era {
+			continue
+		}
+		keys[key] = true
+		w.opts.Log.Info("record-kept", "topic", sequoialead.TopicOperator, "key", key, "era", record.era, "until", w.keptUntil)
 	}
 	w.dropOrders(keys)
 	for domain := range w.servers.Evacuated() {
@@ -42,12 +58,11 @@
 			w.opts.Log.Info("evacuate", "domain", domain, "out", false, "offset", page.Next)
 		}
 	}
-}
-
-// restartOperator forgets the offsets of the operator's records: the store gives them out again.
-func (w *Watcher) restartOperator(time.Time) {
-	clear(w.offsets)
-	w.servers.RestartEvacuations()
+	for key := range w.operator {
+		if configuration, _ := w.opts.Decoder.Operator(key); !keys[key] && !configuration {
+			delete(w.operator, key)
+		}
+	}
 }
 
 // hasDomainKey reports whether one of the keys is that of the domain's
@@ -61,23 +76,24 @@
 	return false
 }
 
-// applyConfig puts a version in force if it is newer than the current one.
-// Records that can't be decoded are logged and skipped.
-func (w *Watcher) applyConfig(item sequoialead.Item) {
+// applyConfig puts a version in force if it is newer than the current one, and reports
+// whether it is in force. Records that can't be decoded are logged and skipped.
+func (w *Watcher) applyConfig(item sequoialead.Item) bool {
 	if len(item.Value) == 0 {
-		return
+		return false
 	}
 	next, err := w.opts.Decoder.Config(item.Value)
 	if err != nil {
 		w.opts.Log.Error(err, "record-skipped", "topic", sequoialead.TopicOperator, "key", item.Key, "offset", item.Offset)
-		return
+		return false
 	}
 	if w.config != nil && next.Version <= w.config.Version {
 		w.opts.Log.Info("version-older", "version", next.Version, "current", w.config.Version)
-		return
+		return next.Version == w.config.Version
 	}
 	w.config = next
 	w.opts.Log.Info("version", "version", next.Version, "offset", item.Offset, "keys", len(next.Customers), "required", next.RequiresKey())
+	return true
 }
 
 // applyServers applies records of backend servers. After a complete read, backend
--- a/core/watch/era_test.go
+++ b/core/watch/era_test.go
@@ -34,8 +34,15 @@
 	return s
 }
 
-// newEraWatcher returns a watcher named name that has read version 1 from a store.
+// newEraWatcher returns a watcher named name that has read a version and a server from a store.
 func newEraWatcher(t *testing.T, name string, s sequoialead.Store, m watch.Relay) *watch.Watcher {
+	t.Helper()
+	w := startEraWatcher(t, name, s, m)
+	waitFor(t, "the first version", func() bool { return version(w) > 0 && len(w.Usable(time.Now())) > 0 })
+	return w
+}
+
+func startEraWatcher(t *testing.T, name string, s sequoialead.Store, m watch.Relay) *watch.Watcher {
 	t.Helper()
 	w := watch.New(watch.Options{
 		Self: membership.Member{Name: name}, Store: s, Relay: m, Decoder: decoder{}, Log: logfmt.New(io.Discard, 0, time.Now), Metrics: metrics.NewSet(),
@@ -43,7 +50,6 @@
 	})
 	qt.Assert(t, w.Start(context.Background()), qt.IsNil)
 	t.Cleanup(func() { qt.Assert(t, w.Close(), qt.IsNil) })
-	waitFor(t, "the first version", func() bool { return version(w) > 0 && len(w.Usable(time.Now())) > 0 })
 	return w
 }
 
@@ -141,7 +147,7 @@
 		c := qt.New(t)
 		s := &lateStore{store: newEraStore(), release: make(chan struct{})}
 		w := newEraWatcher(t, "e", s, &siblings{})
-		time.Sleep(eraApply)
+		time.Sleep(eraApply + 300*time.Millisecond) // no read begins then
 		older := s.snapshot()
 		s.put(sequoialead.TopicOperator, "out/a", "{}")
 		s.hold.Store(true)
@@ -241,6 +247,7 @@
 		s := newEraStore()
 		s.era = 0
 		old := newEraWatcher(t, "old", s, &siblings{})
+		time.Sleep(eraApply)
 		request := protocol.RecordsRequest{Topic: sequoialead.TopicOperator, From: 1}
 		c.Check(w.RecordsSince(request).Complete, qt.IsFalse)
 		c.Check(old.RecordsSince(request).Complete, qt.IsTrue)
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -194,9 +194,10 @@
 	config  *proxyconfig.Config
 	servers *serverset.Set
 	members *membership.Set
-	// offsets maps the operator's keys to the offset of the last applied record, in the era of
-	// the topic's follower.
-	offsets map[string]uint64
+	// operator maps the operator's keys to the last applied record. keptUntil is when those of
+	// an earlier era of the store end; zero if there are none.
+	operator  map[string]operatorRecord
+	keptUntil time.Time
 	// followers maps each topic to the follower that reads it.
 	followers map[sequoialead.Topic]*follower
 	// gate limits the calls to the store while it fails. recovered is closed, and
@@ -219,7 +220,7 @@
 		serversLease: lease.New(),
 		servers:      serverset.New(),
 		members:      membership.New(membership.Options{Self: opts.Self, AssumedEntries: opts.AssumedEntries, TTL: 4 * entriesInterval}),
-		offsets:      map[string]uint64{},
+		operator:     map[string]operatorRecord{},
 		followers:    map[sequoialead.Topic]*follower{},
 		recovered:    make(chan struct{}),
 		eraRaised:    make(chan struct{}),
