watch: ask other entries for what the store has lost

A gateway that started after the store came back from an older copy served a key that a version missing in the copy had taken away, until the operator wrote the version again. Its neighbours refused the key.

Cause: an entry that knows only the copy takes it for current: its read renews the lease by which it trusts its keys.

A configuration is sent only to an entry with an older version.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -84,6 +84,9 @@
 // SetSynced must be called after all records have been read for the first time.
 func (set *Set) SetSynced() { set.synced = true }
 
+// Synced reports whether all records have been read for the first time.
+func (set *Set) Synced() bool { return set.synced }
+
 // Remove removes an entry whose record was deleted.
 func (set *Set) Remove(name string) { delete(set.observed, name) }
 
--- a/core/protocol/protocol.go
+++ b/core/protocol/protocol.go
@@ -196,6 +196,8 @@
 	From  uint64            `cbor:"3,keyasint"`
 	// Era is that of From.
 	Era sequoialead.Era `cbor:"4,keyasint,omitempty"`
+	// Version is that of the configuration in force; zero if there is none.
+	Version sequoialead.Version `cbor:"5,keyasint,omitempty"`
 }
 
 // RecordsResponse answers a RecordsRequest.
@@ -211,4 +213,8 @@
 	// Era is the newest era of the store that the entry knows; if Complete is set, that of
 	// the records.
 	Era sequoialead.Era `cbor:"6,keyasint,omitempty"`
+	// Kept holds the operator's records in force that the entry read in an earlier era and
+	// not again in this one. A configuration is among them only if it is newer than the
+	// version in the request.
+	Kept []sequoialead.Item `cbor:"7,keyasint,omitempty"`
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -118,6 +118,17 @@
 	return r.Read(ctx, request, others, age)
 }
 
+// Ask asks one entry for the records of a topic, however old they are. It reports false if
+// there is no answer, or no connection yet.
+func (r *Relay) Ask(ctx context.Context, name string, request protocol.RecordsRequest) (protocol.RecordsResponse, bool) {
+	if !r.opts.Peers.EnsureConnected(name) {
+		return protocol.RecordsResponse{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	return r.opts.Peers.QueryRecords(ctx, name, request)
+}
+
 func (r *Relay) queryEntry(ctx context.Context, name string, request protocol.RecordsRequest, age time.Duration) (protocol.RecordsResponse, bool) {
 	if !r.opts.Peers.EnsureConnected(name) {
 		return protocol.RecordsResponse{}, false
--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -53,6 +53,9 @@
 	// nil if the topic's state holds no offsets.
 	era     sequoialead.Era
 	restart func(now time.Time)
+	// confirm is called after the first page of another era has been applied, before the
+	// lease is renewed; nil if there is nothing to do. No locks are held.
+	confirm func()
 	// nextRead is when the next read begins, unless the store is found to have recovered
 	// before. It is modified with the watcher's lock held.
 	nextRead time.Time
@@ -156,7 +159,7 @@
 func (f *follower) read(started time.Time, entries []membership.Member) (done bool, err error) {
 	relay := f.watcher.opts.Relay
 	background := f.watcher.tomb.Context(context.Background())
-	request := protocol.RecordsRequest{Topic: f.topic, From: f.next, Era: f.era}
+	request := protocol.RecordsRequest{Topic: f.topic, From: f.next, Era: f.era, Version: f.watcher.version()}
 	rank := 0
 	if f.isSynced() && !f.behind {
 		response, from, ok := relay.Read(background, request, entries, f.ageLimit(maxRelayAge))
@@ -204,6 +207,7 @@
 // askedAt. It returns the results of read.
 func (f *follower) applyRelayed(response protocol.RecordsResponse, from string, askedAt time.Time) (done bool, err error) {
 	f.setSource(from)
+	f.watcher.applyKept(response.Kept, response.Era)
 	err = f.applyPage(sequoialead.Page{Era: response.Era, Items: response.Items, Next: response.Next}, false, askedAt.Add(-response.Age))
 	return err == nil, err
 }
@@ -289,7 +293,8 @@
 		f.watcher.mu.Unlock()
 		return f.watcher.errOldEra(page.Era)
 	}
-	if page.Era != f.era {
+	restarted := page.Era != f.era
+	if restarted {
 		f.era = page.Era
 		if f.restart != nil {
 			f.restart(now)
@@ -308,6 +313,9 @@
 	}
 	f.apply(page, complete, now)
 	f.watcher.mu.Unlock()
+	if restarted && f.confirm != nil {
+		f.confirm()
+	}
 	if !f.behind {
 		f.lease.Renew(started)
 	}
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -95,6 +95,8 @@
 	// era that an entry has told.
 	Read(ctx context.Context, request protocol.RecordsRequest, entries []membership.Member, age time.Duration) (response protocol.RecordsResponse, from string, ok bool)
 	ReadAny(ctx context.Context, request protocol.RecordsRequest, entries []membership.Member, age time.Duration) (response protocol.RecordsResponse, from string, ok bool)
+	// Ask asks one entry, and reports false if there is no answer, or no connection yet.
+	Ask(ctx context.Context, name string, request protocol.RecordsRequest) (response protocol.RecordsResponse, ok bool)
 }
 
 // Evidence is what entries tell each other of prompts that crash backend servers.
@@ -232,7 +234,7 @@
 // Start begins to read in the background. It does not wait for the store.
 func (w *Watcher) Start(context.Context) error {
 	w.follow(&follower{
-		topic: sequoialead.TopicOperator, interval: w.operatorInterval(), apply: w.applyOperator, restart: w.restartOperator, lease: w.lease,
+		topic: sequoialead.TopicOperator, interval: w.operatorInterval(), apply: w.applyOperator, restart: w.restartOperator, confirm: w.askForKept, lease: w.lease,
 	})
 	w.follow(&follower{
 		topic: sequoialead.TopicServers, interval: time.Duration(serversShare * float64(w.opts.Drain)), apply: w.applyServers, restart: w.servers.Restart, lease: w.serversLease,
@@ -359,11 +361,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.noteEraLocked(request.Era)
+	response := protocol.RecordsResponse{Era: w.era}
+	if request.Topic == sequoialead.TopicOperator && request.Era == w.era {
+		response.Kept = w.kept(request.Version)
+	}
 	f := w.followers[request.Topic]
 	if f == nil || !f.synced || f.era != w.era || request.Era != w.era || request.From > f.next {
-		return protocol.RecordsResponse{Era: w.era}
+		return response
 	}
 	age, read := f.lease.Age(w.opts.Now())
 	items, ok := f.recordCache.Since(request.From)
-	return protocol.RecordsResponse{Complete: read && ok, Items: items, Next: f.next, Age: age, Era: f.era}
+	response.Complete, response.Items, response.Next, response.Age = read && ok, items, f.next, age
+	return response
 }
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -183,6 +183,8 @@
 	// of the store.
 	reader   *watch.Watcher
 	anyEntry *watch.Watcher
+	// others are the entries that can be asked by name.
+	others   map[string]*watch.Watcher
 	isReader bool
 	rank     int
 	// extraAge is added to the age in responses.
@@ -205,6 +207,14 @@
 	return m.answer(m.anyEntry, request, age)
 }
 
+func (m *siblings) Ask(_ context.Context, name string, request protocol.RecordsRequest) (protocol.RecordsResponse, bool) {
+	w := m.others[name]
+	if w == nil || m.lost.Load() {
+		return protocol.RecordsResponse{}, false
+	}
+	return w.RecordsSince(request), true
+}
+
 func (m *siblings) answer(w *watch.Watcher, request protocol.RecordsRequest, age time.Duration) (protocol.RecordsResponse, string, bool) {
 	if w == nil || m.lost.Load() {
 		return protocol.RecordsResponse{}, "", false
--- a/testscripts/restore_test.go
+++ b/testscripts/restore_test.go
@@ -150,3 +150,37 @@
 	c.Check(arrivals("desk-2"), qt.Equals, before[1])
 	c.Check(arrivals("desk-5") > before[2], qt.IsTrue)
 }
+
+// TestGatewayStartedAfterReturnOfStore guards against a key that a gateway accepts because the
+// copy still has it, while the gateways that were there before the return know better.
+func TestGatewayStartedAfterReturnOfStore(t *testing.T) {
+	c := qt.New(t)
+	g := newGateways(t, 2)
+	g.configure(3, 500, `,"k2"`)
+	for _, p := range g.procs {
+		g.waitForStatus(p, "k2", 200)
+	}
+	older := g.store.Snapshot()
+	g.configure(5, 500, "")
+	for _, p := range g.procs {
+		g.waitForStatus(p, "k2", 401)
+	}
+	g.restore(older)
+	g.startGateway(2)
+	started := g.procs[2]
+	for n := range 100 {
+		status, _, _ := g.sendRequest(started, "GET", "/check/", fmt.Sprintf("k2-%d", n), "k2")
+		c.Assert(status, qt.Equals, 401)
+		status, _, _ = g.sendRequest(started, "GET", "/check/", fmt.Sprintf("k1-%d", n), "k1")
+		c.Assert(status, qt.Equals, 200)
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, p := range g.procs {
+		status, _, _ := g.sendRequest(p, "GET", "/check/", "old", "k2")
+		c.Check(status, qt.Equals, 401)
+	}
+	g.configure(6, 500, `,"k2"`)
+	for _, p := range g.procs {
+		g.waitForStatus(p, "k2", 200)
+	}
+}
