watch: write records again after the store lost them

After the store came back from an older copy, the record of an entry was missing for up to 8 s and its evidence of crashing prompts for up to a minute, so that an entry that started meanwhile knew of neither. Evidence of the copy replaced newer evidence of the same entry at all others.

Entries write their own record, their evidence and the deletion of a report again as soon as the era rises. An append that is answered in an older era than the one known doesn't count. What an entry has told is not replaced by its record in the copy.

Evidence: without the change TestRecordsAreWrittenAgainAfterReturn finds no evidence a second after the return and TestOlderCopyDoesNotUndoEvidence lacks one of three crashes; both pass with it.

--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -154,18 +154,22 @@
 	w.members.SetSynced()
 }
 
-// announce rewrites this entry's record every entriesInterval, so that the other
-// entries keep counting it.
+// announce rewrites this entry's record every entriesInterval, and at once after the store
+// came back from an older copy, so that the other entries keep counting it.
 func (w *Watcher) announce() error {
 	record, err := cbor.Marshal(w.opts.Self)
 	if err != nil {
 		return err
 	}
 	for {
-		if err := w.put(sequoialead.TopicEntries, record); err != nil && w.tomb.Alive() {
+		era, err := w.put(sequoialead.TopicEntries, record)
+		if err != nil && w.tomb.Alive() {
 			w.opts.Log.V(1).Info("announce-failed", "err", err)
 		}
-		if w.pause(entriesInterval) {
+		select {
+		case <-time.After(entriesInterval):
+		case <-w.storeEraAbove(era):
+		case <-w.tomb.Dying():
 			return nil
 		}
 	}
--- a/core/watch/era.go
+++ b/core/watch/era.go
@@ -30,6 +30,25 @@
 	return w.eraRaised
 }
 
+// storeEraAbove returns a channel that is closed once the store's era is above the given one.
+func (w *Watcher) storeEraAbove(era sequoialead.Era) <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.era > era {
+		risen := make(chan struct{})
+		close(risen)
+		return risen
+	}
+	return w.eraRaised
+}
+
+// storeEra returns the newest era of the store that is known.
+func (w *Watcher) storeEra() sequoialead.Era {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.era
+}
+
 // errOldEra returns the error of an answer that noteEra has found to be too old.
 func (w *Watcher) errOldEra(era sequoialead.Era) error {
 	w.mu.Lock()
--- a/core/watch/follow.go
+++ b/core/watch/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -53,6 +54,10 @@
 	// nil if the topic's state holds no offsets.
 	era     sequoialead.Era
 	restart func(now time.Time)
+	// applied holds the keys whose records have been applied, for topics of which each writer
+	// writes its records again after the store came back from an older copy; nil for others.
+	// Records that the copy has under these keys change nothing.
+	applied map[string]bool
 	// confirm is called after the first page of another era has been applied, before the
 	// lease is renewed; nil if there is nothing to do. No locks are held.
 	confirm func()
@@ -305,6 +310,14 @@
 	} else {
 		f.recordCache.Add(page.Items)
 	}
+	if f.applied != nil {
+		if restarted {
+			page.Items = slices.DeleteFunc(page.Items, func(item sequoialead.Item) bool { return f.applied[item.Key] })
+		}
+		for _, item := range page.Items {
+			f.applied[item.Key] = true
+		}
+	}
 	f.next = page.Next
 	f.synced = true
 	f.behind = page.Remaining() > 0
--- a/core/watch/kept_test.go
+++ b/core/watch/kept_test.go
@@ -211,7 +211,7 @@
 				s.put(sequoialead.TopicOperator, key, value)
 			}
 		}
-		knows := newEraWatcher(t, "e", stores[0], &siblings{})
+		knows := newEraWatcher(t, "e", stores[0], &siblings{isReader: true})
 		m := &siblings{reader: knows}
 		w := newEraWatcher(t, "f", stores[1], m)
 		put("out/a", "{}")
--- a/core/watch/publish.go
+++ b/core/watch/publish.go
@@ -31,17 +31,25 @@
 
 // publish writes this entry's evidence whenever it has changed, once the record of an
 // earlier process of this entry was read. A record is renewed until nothing in it holds
-// any more, and then deleted.
+// any more, and then deleted. It is written or deleted again after the store came back from an
+// older copy.
 func (w *Watcher) publish() error {
-	written := false
+	written, wrote := false, false
+	era := sequoialead.Era(0)
 	for {
 		var renew <-chan time.Time
 		if written {
 			renew = time.After(republishInterval)
 		}
+		var restored <-chan struct{}
+		if wrote {
+			restored = w.storeEraAbove(era)
+		}
 		select {
 		case <-w.opts.Evidence.Changed():
 		case <-renew:
+		case <-restored:
+			written = true // the copy may hold an earlier record
 		case <-w.tomb.Dying():
 			return nil
 		}
@@ -56,8 +64,8 @@
 			if len(record) == 0 && !written {
 				break
 			}
-			if err = w.put(sequoialead.TopicCrashes, record); err == nil {
-				written = len(record) > 0
+			if era, err = w.put(sequoialead.TopicCrashes, record); err == nil {
+				written, wrote = len(record) > 0, true
 				break
 			}
 			w.opts.Log.V(1).Info("publish-failed", "err", err)
@@ -66,13 +74,18 @@
 	}
 }
 
-// put writes this entry's record in a topic. An empty one deletes it.
-func (w *Watcher) put(topic sequoialead.Topic, record []byte) error {
+// put writes this entry's record in a topic, and returns the era in which it was written or
+// should have been. An empty record deletes it.
+func (w *Watcher) put(topic sequoialead.Topic, record []byte) (sequoialead.Era, error) {
+	known := w.storeEra()
 	ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), readTimeout)
 	defer cancel()
 	era, err := w.opts.Store.Put(ctx, topic, w.opts.Self.Name, record)
 	w.noteEra(era)
-	return err
+	if err == nil && era < known {
+		err = w.errOldEra(era)
+	}
+	return max(era, known), err
 }
 
 // synced reports whether all records of a topic have been read.
--- a/core/watch/publish_test.go
+++ b/core/watch/publish_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -68,3 +69,79 @@
 		qt.Assert(t, w.Close(), qt.IsNil)
 	}
 }
+
+// newestOf returns the newest value of a key; empty if there is none.
+func (s *store) newestOf(topic sequoialead.Topic, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var value []byte
+	for _, item := range s.records[topic] {
+		if item.Key == key {
+			value = item.Value
+		}
+	}
+	return value
+}
+
+// Guards against an entry that others forget, and against evidence that entries which start
+// later never get, because the store lost the records when it came back from an older copy.
+func TestRecordsAreWrittenAgainAfterReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newEraStore()
+		older := s.snapshot()
+		w, q := newSharingWatcher(t, s, "e0")
+		t.Cleanup(func() { qt.Assert(t, w.Close(), qt.IsNil) })
+		time.Sleep(time.Second)
+		prompt := []sequoialead.PromptPart{{ID: 1}, {ID: 0xdead}, {ID: 3}}
+		q.RecordCrash(sequoialead.Server{ID: "s0"}, prompt, true)
+		time.Sleep(time.Second)
+		for range 3 {
+			entry, crashes := s.newestOf(sequoialead.TopicEntries, "e0"), s.newestOf(sequoialead.TopicCrashes, "e0")
+			c.Assert(len(entry) > 0 && len(crashes) > 0, qt.IsTrue)
+			s.restore(older)
+			c.Assert(s.newestOf(sequoialead.TopicCrashes, "e0"), qt.HasLen, 0)
+			time.Sleep(time.Second)
+			c.Assert(s.newestOf(sequoialead.TopicEntries, "e0"), qt.DeepEquals, entry)
+			c.Assert(len(s.newestOf(sequoialead.TopicCrashes, "e0")) > 0, qt.IsTrue)
+		}
+		// While the store is away, the writes are tried again, but not without a pause.
+		s.set(func() { s.down, s.puts = true, 0 })
+		s.restore(older)
+		time.Sleep(10 * time.Second)
+		s.set(func() { c.Check(s.puts <= 20, qt.IsTrue, qt.Commentf("%d writes in 10 s", s.puts)) })
+		s.set(func() { s.down = false })
+		time.Sleep(9 * time.Second)
+		c.Check(len(s.newestOf(sequoialead.TopicEntries, "e0")) > 0, qt.IsTrue)
+		c.Check(len(s.newestOf(sequoialead.TopicCrashes, "e0")) > 0, qt.IsTrue)
+	})
+}
+
+// Guards against evidence of a copy that replaces newer evidence of the same entry until that
+// entry has written again.
+func TestOlderCopyDoesNotUndoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newEraStore()
+		w, q := newSharingWatcher(t, s, "e0")
+		t.Cleanup(func() { qt.Assert(t, w.Close(), qt.IsNil) })
+		other, teller := newSharingWatcher(t, s, "e1")
+		prompt := []sequoialead.PromptPart{{ID: 1}, {ID: 0xdead}, {ID: 3}}
+		held := func() bool {
+			q.Refresh()
+			return !q.Check(prompt).IsZero()
+		}
+		time.Sleep(time.Second)
+		teller.RecordCrash(sequoialead.Server{ID: "s0"}, prompt, true)
+		time.Sleep(time.Second)
+		older := s.snapshot()
+		teller.RecordCrash(sequoialead.Server{ID: "s1"}, prompt, true)
+		time.Sleep(time.Second)
+		c.Assert(other.Close(), qt.IsNil)
+		c.Assert(held(), qt.IsFalse) // two of three crashes
+		s.restore(older)
+		time.Sleep(time.Second)
+		q.RecordCrash(sequoialead.Server{ID: "s2"}, prompt, true)
+		c.Assert(held(), qt.IsTrue)
+	})
+}
--- a/core/watch/rollouts.go
+++ b/core/watch/rollouts.go
@@ -31,7 +31,7 @@
 func (w *Watcher) startRollouts() {
 	interval := time.Duration(rolloutReadShare * float64(w.opts.Rollback))
 	w.follow(&follower{topic: sequoialead.TopicStatus, interval: interval, apply: w.applyStatus, lease: lease.New(), active: w.opts.Rollouts.Active})
-	w.follow(&follower{topic: sequoialead.TopicRollouts, interval: interval, apply: w.applyReports, lease: lease.New(), active: w.opts.Rollouts.Active})
+	w.follow(&follower{topic: sequoialead.TopicRollouts, interval: interval, apply: w.applyReports, lease: lease.New(), active: w.opts.Rollouts.Active, applied: map[string]bool{}})
 	w.tomb.Go(w.publishReports)
 	w.tomb.Go(w.writeStatus)
 }
@@ -124,7 +124,8 @@
 	ticker := time.NewTicker(activePollInterval)
 	defer ticker.Stop()
 	var writtenAt, activeAt time.Time
-	written, urgent := false, false
+	written, wrote, urgent := false, false, false
+	era := sequoialead.Era(0)
 	for {
 		select {
 		case <-ticker.C:
@@ -143,7 +144,9 @@
 			interval = min(interval, activePollInterval)
 		}
 		due := active && w.synced(sequoialead.TopicRollouts) && now.Sub(writtenAt) >= interval
-		ended := !active && written && now.Sub(activeAt) >= reportRetention
+		// A report that was deleted may be in an older copy of the store.
+		restored := wrote && w.storeEra() > era
+		ended := !active && (written || restored) && now.Sub(activeAt) >= reportRetention
 		if !due && !ended {
 			continue
 		}
@@ -152,11 +155,12 @@
 			return err
 		}
 		writtenAt, urgent = now, false
-		if err := w.put(sequoialead.TopicRollouts, record); err != nil {
+		if era, err = w.put(sequoialead.TopicRollouts, record); err != nil {
 			w.opts.Log.V(1).Info("publish-failed", "topic", sequoialead.TopicRollouts, "err", err)
+			written = written || restored
 			continue
 		}
-		written = len(record) > 0
+		written, wrote = len(record) > 0, true
 	}
 }
 
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -245,7 +245,7 @@
 	w.tomb.Go(w.announce)
 	if w.opts.Evidence != nil {
 		w.follow(&follower{
-			topic: sequoialead.TopicCrashes, interval: time.Duration(crashesShare * float64(w.opts.Spread)), apply: w.applyCrashes, lease: lease.New(),
+			topic: sequoialead.TopicCrashes, interval: time.Duration(crashesShare * float64(w.opts.Spread)), apply: w.applyCrashes, lease: lease.New(), applied: map[string]bool{},
 		})
 		w.tomb.Go(w.publish)
 	}
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -40,6 +40,8 @@
 	// reads counts the reads from an offset, and newestReads those of the newest records.
 	reads       int
 	newestReads int
+	// puts counts the writes.
+	puts int
 	// pageLimit is the maximum number of records of one read from an offset; 0 for any.
 	// Below 0 such a read returns none, although there are some.
 	pageLimit int
@@ -143,7 +145,7 @@
 
 func (s *store) Put(_ context.Context, topic sequoialead.Topic, key string, value []byte) (sequoialead.Era, error) {
 	down, era := false, sequoialead.Era(0)
-	s.set(func() { down, era = s.down, s.era })
+	s.set(func() { s.puts, down, era = s.puts+1, s.down, s.era })
 	if down {
 		return era, sequoialead.ErrPlatform.New("down")
 	}
