versions: write the state of an order again after the store lost it

After the store came back from an older copy, the status told an earlier state of an order for good: a final state is written once, and nobody reads the topic once the order has ended.

When the era rises, the states of all orders are read again, also of those that have ended. A state that is missing is written again by the entry whose turn it is. Pages of an older era don't count as a read, and an append counts only in the era of the read that it is based on.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -196,7 +196,11 @@
 	// that the order is completed.
 	state       State
 	completedAt time.Time
-	step        Step
+	// lost is set from StatusLost until a final state of the order was read again, and lostAt
+	// is when it was called.
+	lost   bool
+	lostAt time.Time
+	step   Step
 	// stepAt is when the step began. halfAt and allAt are when the next ones are due.
 	stepAt time.Time
 	halfAt time.Time
@@ -279,10 +283,26 @@
 	return a
 }
 
+// StatusLost records that the store may have lost the state of the order. It is read again,
+// and written again if it is missing.
+func (r *Rollout) StatusLost(now time.Time) {
+	r.statusRead, r.lost, r.lostAt = false, true, now
+}
+
+// Settled reports whether the order has a final state that the store holds, as far as is
+// known.
+func (r *Rollout) Settled() bool { return r.state.Final() && !r.lost }
+
 // ReadStatus records that the status was read. A final state of this order binds from now
 // on.
 func (r *Rollout) ReadStatus(target string, state State) {
 	r.statusRead = true
+	if r.lost && !r.state.Final() && target != r.opts.Target {
+		r.state = StateNone
+	}
+	if !r.state.Final() || target == r.opts.Target && state.Final() {
+		r.lost = false
+	}
 	if target == r.opts.Target && !r.state.Final() {
 		r.state = state
 		if state == StateCompleted {
@@ -634,10 +654,16 @@
 
 // Wanted returns the state that this entry should write now; StateNone for none.
 func (r *Rollout) Wanted(now time.Time) State {
-	if r.state.Final() || !r.statusRead {
+	if !r.statusRead || r.Settled() {
 		return StateNone
 	}
 	delay := time.Duration(min(r.rank, maxRank)) * rankDelay
+	if r.state.Final() {
+		if now.Before(r.lostAt.Add(delay)) {
+			return StateNone
+		}
+		return r.state
+	}
 	deadline := r.Deadline()
 	switch {
 	case r.bad:
--- a/core/versions/versions.go
+++ b/core/versions/versions.go
@@ -149,7 +149,8 @@
 	return slices.Collect(maps.Keys(v.rollouts))
 }
 
-// Active reports whether there is an order that has not ended.
+// Active reports whether there is an order that has not ended, or whose final state may be
+// missing in the store.
 func (v *Versions) Active() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -158,7 +159,7 @@
 
 func (v *Versions) active() bool {
 	for _, r := range v.rollouts {
-		if !r.State().Final() {
+		if !r.Settled() {
 			return true
 		}
 	}
@@ -172,6 +173,16 @@
 	v.statuses[name] = status{target: target, state: state}
 }
 
+// StatusLost records that the store may have lost states of orders.
+func (v *Versions) StatusLost() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.statuses)
+	for _, r := range v.rollouts {
+		r.StatusLost(v.opts.Now())
+	}
+}
+
 // StatusRead records that all states that were read have been applied.
 func (v *Versions) StatusRead() {
 	v.mu.Lock()
--- a/core/versions/versions_test.go
+++ b/core/versions/versions_test.go
@@ -157,3 +157,55 @@
 	c.Assert(s.v.ApplyReport("other", []byte{0xa1, 0x61, 'a', 0xf6}), qt.IsNotNil) // {"a": null}
 	c.Assert(s.v.ApplyReport("other", nil), qt.IsNil)
 }
+
+// Guards against the state of an order that the operator never reads again, because the store
+// lost it after it was written.
+func TestLostStateIsWrittenAgain(t *testing.T) {
+	tests := []struct {
+		desc string
+		// known is the state before the store lost it, and copied what is read afterwards.
+		known, copiedTarget, copied string
+		want                        string
+	}{
+		{"completed, nothing in the copy", "completed", "", "", "completed"},
+		{"completed, running in the copy", "completed", "v2", "running", "completed"},
+		{"rolled back, an earlier order in the copy", "rolled_back", "v1", "completed", "rolled_back"},
+		{"completed in the copy", "completed", "v2", "completed", ""},
+		{"running, nothing in the copy", "running", "", "", "running"},
+		{"running in the copy", "running", "v2", "running", ""},
+		{"completed by another entry", "running", "v2", "completed", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSite("e")
+			s.add("s1", "v1")
+			s.add("s2", "v2")
+			order := &sequoialead.RolloutOrder{Pool: "desk", Target: "v2", Duration: time.Minute}
+			s.v.ApplyOrder("desk", order, s.now, true)
+			s.v.ApplyStatus("desk", "v2", test.known)
+			s.v.StatusRead()
+			s.update(time.Second)
+			c.Assert(s.v.Wanted(), qt.HasLen, 0)
+
+			s.v.StatusLost()
+			s.update(10 * time.Millisecond)
+			c.Assert(s.v.Wanted(), qt.HasLen, 0) // the status has to be read first
+			c.Assert(s.v.Active(), qt.IsTrue)
+			if test.copiedTarget != "" {
+				s.v.ApplyStatus("desk", test.copiedTarget, test.copied)
+			}
+			s.v.StatusRead()
+			s.update(time.Second)
+			if test.want == "" {
+				c.Assert(s.v.Wanted(), qt.HasLen, 0)
+				return
+			}
+			c.Assert(s.v.Wanted(), qt.DeepEquals, map[string][2]string{"desk": {"v2", test.want}})
+			s.v.ApplyStatus("desk", "v2", test.want)
+			s.v.StatusRead()
+			c.Assert(s.v.Wanted(), qt.HasLen, 0)
+			c.Assert(s.v.Active(), qt.Equals, test.want == "running")
+		})
+	}
+}
--- a/core/watch/era.go
+++ b/core/watch/era.go
@@ -18,11 +18,26 @@
 	w.opts.Log.Info("store-era", "era", era, "before", w.era)
 	w.opts.Metrics.GetOrCreateGauge("sequoialead_store_era", nil).Set(float64(era))
 	w.era = era
+	if w.opts.Rollouts != nil {
+		w.opts.Rollouts.StatusLost()
+	}
 	close(w.eraRaised)
 	w.eraRaised = make(chan struct{})
 	return true
 }
 
+// inEra calls apply with the lock held if an era is the newest one known, and reports whether
+// it is.
+func (w *Watcher) inEra(era sequoialead.Era, apply func()) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if era != w.era {
+		return false
+	}
+	apply()
+	return true
+}
+
 // storeEraRaised returns a channel that is closed when the store's era rises.
 func (w *Watcher) storeEraRaised() <-chan struct{} {
 	w.mu.Lock()
--- a/core/watch/rollouts.go
+++ b/core/watch/rollouts.go
@@ -155,6 +155,9 @@
 			return err
 		}
 		writtenAt, urgent = now, false
+		if len(record) == 0 && !written && !restored {
+			continue
+		}
 		if era, err = w.put(sequoialead.TopicRollouts, record); err != nil {
 			w.opts.Log.V(1).Info("publish-failed", "topic", sequoialead.TopicRollouts, "err", err)
 			written = written || restored
@@ -189,14 +192,13 @@
 	ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), w.timeout())
 	defer cancel()
 	page, err := w.opts.Store.Newest(ctx, sequoialead.TopicStatus)
-	current := w.noteEra(page.Era)
+	w.noteEra(page.Era)
 	if err != nil {
 		return err
 	}
-	if !current {
+	if !w.inEra(page.Era, func() { w.applyStatus(page, true, w.opts.Now()) }) {
 		return w.errOldEra(page.Era)
 	}
-	w.applyStatus(page, true, w.opts.Now())
 	for pool, wanted := range w.opts.Rollouts.Wanted() {
 		key, raw, err := w.opts.RolloutDecoder.EncodeRolloutStatus(pool, wanted[0], wanted[1])
 		if err != nil {
@@ -207,15 +209,15 @@
 		if err != nil {
 			return err
 		}
-		// In another era the topic ends at the same offset by chance.
-		ok = ok && era == page.Era
 		w.opts.Log.Info("rollout-write", "pool", pool, "target", wanted[0], "state", wanted[1], "end", page.Next, "written", ok)
-		if !ok {
-			return nil // the topic is no longer as it was read; read again
+		if !ok || era != page.Era {
+			return nil // the topic is no longer as it was read, or ends there by chance; read again
 		}
 		page.Next++
-		w.opts.Rollouts.ApplyStatus(pool, wanted[0], wanted[1])
-		w.opts.Rollouts.StatusRead()
+		w.inEra(page.Era, func() {
+			w.opts.Rollouts.ApplyStatus(pool, wanted[0], wanted[1])
+			w.opts.Rollouts.StatusRead()
+		})
 		w.opts.OnChange()
 	}
 	return nil
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -134,6 +134,9 @@
 	// that were read have been applied.
 	ApplyStatus(pool, target, state string)
 	StatusRead()
+	// StatusLost records that the store may have lost states. They are wanted again if they
+	// are missing.
+	StatusLost()
 	// ApplyReport takes over the record of an entry, and ReportsRead records that all that
 	// were read have been applied. The error says what is wrong with the record.
 	ApplyReport(entry string, raw []byte) error
