testscripts: let the store return twice under traffic

Two returns within seconds with real gateways, one of which is stopped from before a key is revoked until after them. The others serve all requests with a valid key meanwhile. Without askForKept the stopped gateway accepts the revoked key and the test fails.

--- a/testscripts/restore_test.go
+++ b/testscripts/restore_test.go
@@ -1,9 +1,11 @@
 package testscripts
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -184,3 +186,63 @@
 		g.waitForStatus(p, "k2", 200)
 	}
 }
+
+// TestReturnsOfStoreUnderTraffic guards against requests that are refused, and a revoked key
+// that is accepted, while the store comes back from an older copy twice within seconds, and
+// after one gateway was stopped in between.
+func TestReturnsOfStoreUnderTraffic(t *testing.T) {
+	c := qt.New(t)
+	g := newGateways(t, 3)
+	g.configure(3, 500, `,"k2"`)
+	for _, p := range g.procs {
+		g.waitForStatus(p, "k2", 200)
+	}
+	older := g.store.Snapshot()
+	frozen := g.procs[2]
+	c.Assert(frozen.cmd.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+	g.configure(5, 500, "")
+	revokedBy := time.Now().Add(g.revocationTimeout)
+	for _, p := range g.procs[:2] {
+		g.waitForStatus(p, "k2", 401)
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	var traffic sync.WaitGroup
+	var mu sync.Mutex
+	served := map[int]int{}
+	for _, p := range g.procs[:2] {
+		for _, key := range []string{"k1", "k2"} {
+			traffic.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					sentAt := time.Now()
+					status, body, _ := g.sendRequest(p, "GET", "/check/", fmt.Sprintf("t%d-%s-%d", p.index, key, n), key)
+					if key == "k1" {
+						c.Check(status, qt.Equals, 200, qt.Commentf("%s", body))
+					} else if sentAt.After(revokedBy) {
+						c.Check(status, qt.Equals, 401)
+					}
+					mu.Lock()
+					served[p.index]++
+					mu.Unlock()
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+		}
+	}
+	g.restore(older)
+	time.Sleep(time.Second)
+	g.restore(older)
+	time.Sleep(time.Until(revokedBy))
+	c.Assert(frozen.cmd.Process.Signal(syscall.SIGCONT), qt.IsNil)
+	for range 200 {
+		status, _, _ := g.sendRequest(frozen, "GET", "/check/", "frozen", "k2")
+		c.Assert(status != 200, qt.IsTrue)
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.waitForStatus(frozen, "k1", 200)
+	cancel()
+	traffic.Wait()
+	for _, p := range g.procs[:2] {
+		c.Check(served[p.index] > 100, qt.IsTrue, qt.Commentf("%d", served[p.index]))
+	}
+}
