--- a/core/watch/era.go
+++ b/core/watch/era.go
@@ -16,7 +16,6 @@
 		return era == w.era
 	}
 	w.opts.Log.Info("store-era", "era", era, "before", w.era)
-	w.opts.Metrics.GetOrCreateGauge("sequoialead_store_era", nil).Set(float64(era))
 	w.era = era
 	if w.opts.Rollouts != nil {
 		w.opts.Rollouts.StatusLost()
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -230,6 +230,7 @@
 		recovered:    make(chan struct{}),
 		eraRaised:    make(chan struct{}),
 	}
+	opts.Metrics.GetOrCreateGauge("sequoialead_store_era", func() float64 { return float64(w.storeEra()) })
 	w.gate = storegate.New(storegate.Options{Min: retryMin, Max: retryMax, Limit: max(w.operatorInterval(), retryMax)})
 	return w
 }
